--- /dev/null
+++ b/src/brain.rs
@@ -0,0 +1,780 @@
+//! Every decision of the call controller. Its types are in `interface.rs`; it does no input or output.
+//!
+//! The mechanism is Sabourin's call counting (ITC-13). For each core server this front counts the set-ups
+//! meant for it and those sent, over a sliding window, and reads the estimate against a ceiling that 'processor
+//! full' or a time-out set there. Past S1 the cheapest tier is refused, past S2 all non-urgent calls. What is
+//! left goes to the first choice, else to the one of two drawn with fewer set-ups unanswered.
+//! Below the mechanism stand its guards; `docs/design.md` says when each of them acts.
+
+use crate::interface::*;
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg32;
+use std::collections::{BTreeMap, VecDeque};
+
+/// Period of the counts: the paper's.
+const PERIOD_NS: Nanos = 100_000_000;
+/// Periods in the window: the paper's 3 s. Shorter windows count too few calls at a single front.
+const N: usize = 30;
+const WINDOW_NS: Nanos = PERIOD_NS * N as Nanos;
+/// First threshold, of the ceiling: the paper's.
+const S1: f64 = 0.8;
+/// Second threshold, of the ceiling: the paper's.
+const S2: f64 = 0.9;
+/// Cost of a rejected call, in set-ups: a refusal here costs the server nothing.
+const CR: f64 = 0.0;
+/// Cost of an accepted call, in set-ups.
+const CA: f64 = 1.0;
+/// A set-up unanswered for this share of the resend gap is a time-out in the making: it must be seen before
+/// the network sends the set-up again, since repeats are work that feeds the jam.
+const LATE_SHARE: f64 = 0.75;
+/// Where nothing is ever resent, this share of the shortest aim stands in for the resend gap.
+const GAP_OF_AIM: f64 = 0.3;
+/// Periods without a symptom before a ceiling starts to lapse.
+const CLEAN_PERIODS: u64 = 10;
+/// A lapsing ceiling rises by this factor a period: 2 % is a fifth in a second, slower than a jam is seen.
+const LAPSE_STEP: f64 = 1.015;
+/// A ceiling this far over the offered rate decides nothing and is lifted.
+const LIFTED: f64 = 2.0;
+/// The lowest ceiling, in set-ups a window: a few must pass, or nothing would ever be learned.
+const LEAST_A_WINDOW: f64 = 2.0;
+/// A call held back everywhere may wait here for this share of its aim; then it is refused.
+const HOLD_OF_AIM: f64 = 0.4;
+/// A server without any answer for so many resend gaps while set-ups are out is suspected silent.
+const SILENT_GAPS: f64 = 2.0;
+/// Rest between single live calls to a suspect, in resend gaps; it doubles up to the second figure.
+const TRIAL_GAPS: (f64, f64) = (1.0, 4.0);
+
+/// One period's counts for one server.
+#[derive(Clone, Copy, Default)]
+struct Period {
+    offered: u32,
+    sent: u32,
+    stood: u32,
+}
+
+/// A set-up that has had no answer yet.
+#[derive(Clone, Copy)]
+struct Unanswered {
+    call: CallId,
+    sent_ns: Nanos,
+}
+
+/// A server that is taken to be silent, until a single live call stands there.
+#[derive(Clone, Copy)]
+struct Suspect {
+    next_trial_ns: Nanos,
+    rest_ns: Nanos,
+}
+
+struct Server {
+    entry: Entry,
+    window: VecDeque<Period>,
+    ceiling_per_s: Option<f64>,
+    symptom_ns: Nanos,
+    deaf_until_ns: Nanos,
+    told_wait_until_ns: Nanos,
+    out: Vec<Unanswered>,
+    delay_ns: Nanos,
+    heard_ns: Nanos,
+    suspect: Option<Suspect>,
+    cold_since_ns: Option<Nanos>,
+    report: Report,
+    report_ns: Nanos,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum State {
+    Held,
+    Out,
+    Releasing,
+    Standing,
+}
+
+/// One call's row in the one table that the rules are checked against.
+struct Row {
+    call: Call,
+    state: State,
+    taken_ns: Nanos,
+    deadline_ns: Nanos,
+    not_before_ns: Nanos,
+    attempts: u32,
+    server: ServerId,
+    calling_off: bool,
+    /// The first attempt that may have run: its server's zone and number, and when it was sent.
+    may_have_run: Option<(u32, u32, Nanos)>,
+}
+
+/// The decisions of one front. Same settings, seed and events give the same actions.
+pub struct Controller {
+    settings: Settings,
+    rng: Pcg32,
+    now: Nanos,
+    started_ns: Nanos,
+    period: u64,
+    servers: BTreeMap<ServerId, Server>,
+    calls: BTreeMap<CallId, Row>,
+    top_worth: f64,
+    gap_ns: Nanos,
+    wake_ns: Option<Nanos>,
+    subscribe_ns: Option<Nanos>,
+    begun: bool,
+}
+
+impl Controller {
+    /// A controller that knows nothing yet but its settings.
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        let top_worth = settings.classes.iter().map(|c| c.worth).fold(f64::MIN, f64::max);
+        let least_aim = settings.classes.iter().map(|c| c.aim_ns).min().unwrap_or(0);
+        let gap_ns = if settings.resend_ns > 0 {
+            settings.resend_ns
+        } else {
+            share(least_aim, GAP_OF_AIM)
+        };
+        Controller {
+            rng: Pcg32::seed_from_u64(seed),
+            now: 0,
+            started_ns: 0,
+            period: 0,
+            servers: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            top_worth,
+            gap_ns,
+            wake_ns: None,
+            subscribe_ns: None,
+            begun: false,
+            settings,
+        }
+    }
+
+    /// Takes one event and appends what is to be done about it. A clock that runs back stands still.
+    pub fn handle(&mut self, now: Nanos, event: Event, actions: &mut Vec<Action>) {
+        self.begin(now, actions);
+        self.roll_periods();
+        match event {
+            Event::List(news) => self.on_list(news),
+            Event::Call(call) => self.on_call(call, actions),
+            Event::CallerGone(id) => self.forget(id),
+            Event::Standing { call, attempt } => self.on_standing(call, attempt),
+            Event::Settled {
+                call,
+                attempt,
+                server,
+                outcome,
+                closed,
+                report,
+            } => {
+                self.on_report(server, report);
+                self.on_settled(call, attempt, server, outcome, closed, actions);
+            }
+            Event::Reported { server, report } => self.on_report(server, report),
+            Event::Wake => {}
+        }
+        self.look_at_servers(actions);
+        self.look_at_calls(actions);
+        self.set_wake(actions);
+    }
+
+    fn begin(&mut self, now: Nanos, actions: &mut Vec<Action>) {
+        self.now = self.now.max(now);
+        if !self.begun {
+            self.begun = true;
+            self.started_ns = self.now;
+            self.period = self.now / PERIOD_NS;
+            if self.settings.list_on_request {
+                actions.push(Action::Subscribe);
+            }
+        }
+        if self.wake_ns.is_some_and(|at| at <= self.now) {
+            self.wake_ns = None;
+        }
+        if self.subscribe_ns.is_some_and(|at| at <= self.now) {
+            self.subscribe_ns = None;
+            actions.push(Action::Subscribe);
+        }
+    }
+
+    // ---- The mechanism: window, estimate, ceiling, overload state, pick ----
+
+    /// Slides every server's window to the present period; periods without events count as empty.
+    fn roll_periods(&mut self) {
+        let period = self.now / PERIOD_NS;
+        let passed = period - self.period;
+        self.period = period;
+        for server in self.servers.values_mut() {
+            for _ in 0..passed.min(N as u64) {
+                server.window.pop_front();
+                server.window.push_back(Period::default());
+            }
+            for _ in 0..passed.min(N as u64 * 4) {
+                server.lapse(self.now);
+            }
+        }
+    }
+
+    /// The span that the window covers by now, in seconds: less than N periods just after a start.
+    fn window_s(&self) -> f64 {
+        let age = (self.now - self.started_ns).max(WINDOW_NS / 3);
+        age.min(WINDOW_NS) as f64 / 1e9
+    }
+
+    /// The overload state of a server for one more set-up: 0, 1 past S1, 2 past S2 of the ceiling.
+    fn overload_state(&self, server: &Server) -> u8 {
+        let Some(ceiling) = self.ceiling(server) else {
+            return 0;
+        };
+        let estimate = server.estimate(self.window_s(), 1.0);
+        match () {
+            _ if estimate > S2 * ceiling => 2,
+            _ if estimate > S1 * ceiling => 1,
+            _ => 0,
+        }
+    }
+
+    /// The ceiling in force: the one that a symptom set, or that of a cold server where it is lower.
+    fn ceiling(&self, server: &Server) -> Option<f64> {
+        match (server.ceiling_per_s, self.cold_ceiling(server)) {
+            (Some(a), Some(b)) => Some(a.min(b)),
+            (a, b) => a.or(b),
+        }
+    }
+
+    /// Tier refusal: whether this server holds this call back at present.
+    fn holds_back(&self, server: &Server, call: &Call) -> bool {
+        if self.now < server.told_wait_until_ns || !self.may_try_suspect(server) || !self.cold_room(server) {
+            return true;
+        }
+        let urgent = call.again || call.in_transit;
+        let cheapest = self.settings.classes[call.class].worth < self.top_worth;
+        match self.overload_state(server) {
+            0 => false,
+            1 => cheapest && !urgent,
+            _ => !urgent,
+        }
+    }
+
+    /// The pool pick among the servers that the rules and the tiers leave: the first choice, else the one of
+    /// two drawn with fewer of this front's set-ups unanswered.
+    fn pick(&mut self, id: CallId) -> Option<ServerId> {
+        let row = self.calls.get(&id)?;
+        let (mut open, mut first) = (Vec::new(), None);
+        for server in self.servers.values() {
+            if !self.may_send(row, server) || self.holds_back(server, &row.call) {
+                continue;
+            }
+            if server.entry.number == row.call.first_choice {
+                first = Some(server.entry.server);
+            }
+            open.push((server.out.len(), server.entry.server));
+        }
+        if first.is_some() || open.len() < 2 {
+            return first.or(open.first().map(|(_, server)| *server));
+        }
+        let one = self.draw(open.len());
+        let other = (one + 1 + self.draw(open.len() - 1)) % open.len();
+        let better = if open[other].0 < open[one].0 { other } else { one };
+        Some(open[better].1)
+    }
+
+    /// 'Processor full', a time-out, or a set-up late enough to become one: the ceiling goes to this front's
+    /// recent rate there, that is to what the server answered of what was sent.
+    fn press(&mut self, id: ServerId) {
+        let (now, window_s, gap_ns) = (self.now, self.window_s(), self.gap_ns);
+        let Some(server) = self.servers.get_mut(&id) else {
+            return;
+        };
+        server.symptom_ns = now;
+        if now < server.deaf_until_ns {
+            return;
+        }
+        // What was sent before this moment goes on giving symptoms for as long as it waits.
+        server.deaf_until_ns = now + gap_ns.max(server.delay_ns);
+        let sent = server.estimate(window_s, 0.0);
+        let stood = server.window.iter().map(|p| p.stood).sum::<u32>() as f64 / window_s;
+        let rate = if stood > 0.0 { stood.min(sent) } else { sent };
+        let ceiling = server.ceiling_per_s.map_or(rate, |c| c.min(rate));
+        server.ceiling_per_s = Some(ceiling.max(LEAST_A_WINDOW * 1e9 / WINDOW_NS as f64));
+    }
+
+    // ---- Events ----
+
+    fn on_list(&mut self, news: News) {
+        let entries = match news {
+            News::Failed => {
+                // Asking again at once, all fronts together, is what makes discovery fail.
+                let wait = PERIOD_NS * (5 + self.draw(10) as Nanos);
+                self.subscribe_ns = Some(self.now + wait).filter(|_| self.settings.list_on_request);
+                return;
+            }
+            News::Changes(entries) => entries,
+            News::Full(entries) => {
+                for server in self.servers.values_mut() {
+                    if !entries.iter().any(|e| e.server == server.entry.server) {
+                        server.entry.availability = Availability::Gone;
+                    }
+                }
+                entries
+            }
+        };
+        for entry in entries {
+            let cold = (entry.up_since_ns > 0).then_some(entry.up_since_ns);
+            match self.servers.get_mut(&entry.server) {
+                // The same process as before: only its listing changed.
+                Some(known) if known.entry.up_since_ns == entry.up_since_ns => known.entry = entry,
+                // Unknown, or started again under the same id: nothing learned before holds.
+                Some(known) => {
+                    let out = std::mem::take(&mut known.out);
+                    *known = Server {
+                        out,
+                        ..Server::new(entry, cold, self.now)
+                    };
+                }
+                None => {
+                    self.servers
+                        .insert(entry.server, Server::new(entry, cold, self.now));
+                }
+            }
+        }
+    }
+
+    fn on_call(&mut self, call: Call, actions: &mut Vec<Action>) {
+        if self.calls.contains_key(&call.id) || call.class >= self.settings.classes.len() {
+            return;
+        }
+        let row = Row {
+            call,
+            state: State::Held,
+            taken_ns: self.now,
+            deadline_ns: self.now + call.budget_ns,
+            not_before_ns: self.now,
+            attempts: 0,
+            server: 0,
+            calling_off: false,
+            may_have_run: None,
+        };
+        self.calls.insert(call.id, row);
+        if let Some(server) = self
+            .servers
+            .values_mut()
+            .find(|s| s.entry.number == call.first_choice)
+        {
+            server.now_mut().offered += 1;
+        }
+        self.place(call.id, actions);
+    }
+
+    fn on_standing(&mut self, id: CallId, attempt: u32) {
+        let Some(row) = self.calls.get_mut(&id) else {
+            return;
+        };
+        if row.state != State::Out || attempt + 1 != row.attempts {
+            return;
+        }
+        row.state = State::Standing;
+        let server = row.server;
+        self.answered(server, id, true);
+    }
+
+    fn on_settled(
+        &mut self,
+        id: CallId,
+        attempt: u32,
+        server: ServerId,
+        outcome: Outcome,
+        closed: bool,
+        actions: &mut Vec<Action>,
+    ) {
+        let alive = matches!(
+            outcome,
+            Outcome::Passed | Outcome::Fault | Outcome::ProcessorFull(_)
+        );
+        self.answered(server, id, alive);
+        match outcome {
+            Outcome::ProcessorFull(wait) => {
+                self.press(server);
+                if let Some(known) = self.servers.get_mut(&server) {
+                    let wait = wait.unwrap_or(self.gap_ns).min(WINDOW_NS);
+                    known.told_wait_until_ns = self.now + wait;
+                }
+            }
+            Outcome::TimedOut => self.press(server),
+            Outcome::NoRoute => self.suspect(server),
+            _ => {}
+        }
+        let Some(row) = self.calls.get_mut(&id) else {
+            return;
+        };
+        if closed {
+            self.forget(id);
+            return;
+        }
+        if row.state != State::Out || attempt + 1 != row.attempts {
+            return;
+        }
+        if !outcome.never_ran() && row.may_have_run.is_none() {
+            let entry = self.servers.get(&server).map(|s| s.entry);
+            row.may_have_run = entry.map(|e| (e.zone, e.number, row.taken_ns));
+        }
+        row.calling_off = false;
+        if outcome.needs_release() {
+            row.state = State::Releasing;
+            row.not_before_ns = self.now + self.settings.release_ns;
+        } else {
+            row.state = State::Held;
+        }
+        if outcome == Outcome::Fault {
+            self.give_up(id, actions);
+        } else {
+            self.place(id, actions);
+        }
+    }
+
+    fn on_report(&mut self, id: ServerId, report: Report) {
+        if let Some(server) = self.servers.get_mut(&id) {
+            server.report = report;
+            server.report_ns = self.now;
+        }
+    }
+
+    /// A set-up is no longer unanswered; `alive` says that the server itself answered it.
+    fn answered(&mut self, id: ServerId, call: CallId, alive: bool) {
+        let (now, late_ns) = (self.now, share(self.gap_ns, LATE_SHARE));
+        let Some(server) = self.servers.get_mut(&id) else {
+            return;
+        };
+        let Some(at) = server.out.iter().position(|o| o.call == call) else {
+            return;
+        };
+        let sent_ns = server.out.remove(at).sent_ns;
+        if !alive {
+            return;
+        }
+        let delay_ns = now.saturating_sub(sent_ns);
+        server.heard_ns = now;
+        server.delay_ns = delay_ns;
+        server.now_mut().stood += 1;
+        if let Some(suspect) = server.suspect.take() {
+            // It may have started anew while it was silent: climb again from the cold share.
+            let silent_ns = now.saturating_sub(suspect.next_trial_ns);
+            let _ = silent_ns;
+            server.cold_since_ns = Some(now);
+        }
+        if delay_ns > late_ns {
+            self.press(id);
+        }
+    }
+
+    // ---- Placing a call, and giving it up ----
+
+    fn place(&mut self, id: CallId, actions: &mut Vec<Action>) {
+        let Some(row) = self.calls.get(&id) else { return };
+        if row.state == State::Releasing && self.now >= row.not_before_ns {
+            if let Some(row) = self.calls.get_mut(&id) {
+                row.state = State::Held;
+            }
+        }
+        if let Some(server) = self.pick(id) {
+            self.send(id, server, actions);
+        } else if self
+            .calls
+            .get(&id)
+            .is_some_and(|row| self.now >= self.patience_ns(row))
+        {
+            self.give_up(id, actions);
+        }
+    }
+
+    /// Until when a call that finds no server may be held here.
+    fn patience_ns(&self, row: &Row) -> Nanos {
+        let aim_ns = self.settings.classes[row.call.class].aim_ns;
+        let hold = share(aim_ns, HOLD_OF_AIM);
+        let until = row.taken_ns + if row.attempts == 0 { hold } else { aim_ns };
+        until.min(row.deadline_ns.saturating_sub(2 * self.settings.tick_ns))
+    }
+
+    fn send(&mut self, id: CallId, server: ServerId, actions: &mut Vec<Action>) {
+        let (now, may_cancel, gap_ns) = (self.now, self.settings.may_cancel, self.gap_ns);
+        let Some(row) = self.calls.get_mut(&id) else {
+            return;
+        };
+        let left = row.deadline_ns.saturating_sub(now);
+        row.state = State::Out;
+        row.server = server;
+        row.attempts += 1;
+        // Where attempts cannot be called off, only their time-out frees a call from a silent server.
+        let timeout_ns = if may_cancel {
+            left
+        } else {
+            left.min(share(gap_ns, SILENT_GAPS))
+        };
+        if let Some(server) = self.servers.get_mut(&server) {
+            server.now_mut().sent += 1;
+            if server.out.is_empty() {
+                server.heard_ns = now;
+            }
+            server.out.push(Unanswered {
+                call: id,
+                sent_ns: now,
+            });
+            if let Some(suspect) = &mut server.suspect {
+                suspect.next_trial_ns = now + suspect.rest_ns;
+                suspect.rest_ns = (suspect.rest_ns * 2).min(share(gap_ns, TRIAL_GAPS.1));
+            }
+        }
+        actions.push(Action::Send {
+            call: id,
+            server,
+            timeout_ns,
+        });
+    }
+
+    /// The final answer, at once. Refused where the rules allow it, else failed.
+    fn give_up(&mut self, id: CallId, actions: &mut Vec<Action>) {
+        let Some(row) = self.calls.remove(&id) else { return };
+        let refusable = match self.settings.classes[row.call.class].repeat {
+            Repeat::Safe | Repeat::Keyed(Scope::All) => true,
+            Repeat::Keyed(_) | Repeat::Unsafe => row.may_have_run.is_none(),
+        };
+        if !refusable {
+            actions.push(Action::Fail { call: id });
+            return;
+        }
+        // Drawn, so that refused callers don't come back in step.
+        let wait = self.gap_ns + share(self.gap_ns, self.draw(1000) as f64 / 1000.0);
+        let come_back_ns = Some(wait.min(self.settings.max_come_back_ns)).filter(|w| *w > 0);
+        actions.push(Action::Refuse {
+            call: id,
+            come_back_ns,
+        });
+    }
+
+    fn forget(&mut self, id: CallId) {
+        if let Some(row) = self.calls.remove(&id) {
+            if let Some(server) = self.servers.get_mut(&row.server) {
+                server.out.retain(|o| o.call != id);
+            }
+        }
+    }
+
+    // ---- Guards ----
+
+    /// The rules, in one place: whether this call may be sent to this server now.
+    fn may_send(&self, row: &Row, server: &Server) -> bool {
+        let class = &self.settings.classes[row.call.class];
+        let entry = &server.entry;
+        // One attempt at a time, released, in time, within the attempts allowed, to a server in service.
+        if row.state != State::Held
+            || self.now < row.not_before_ns
+            || self.now >= row.deadline_ns
+            || row.attempts >= self.settings.max_attempts
+            || entry.availability != Availability::Ready
+        {
+            return false;
+        }
+        // A call in transit goes to its destination only, and none to the own exchange or without its skill.
+        if (row.call.in_transit && entry.number != row.call.first_choice)
+            || self.settings.home == Some(entry.number)
+            || !(class.pools.is_empty() || class.pools.contains(&entry.number))
+        {
+            return false;
+        }
+        // The own circuits, where they are told and recent.
+        let fresh = self.now - server.report_ns < WINDOW_NS;
+        if fresh && server.report.free.is_some_and(|free| free < row.call.width) {
+            return false;
+        }
+        match (class.repeat, row.may_have_run) {
+            (Repeat::Safe, _) | (_, None) => true,
+            (Repeat::Unsafe, Some(_)) => false,
+            (Repeat::Keyed(scope), Some((zone, number, sent_ns))) => {
+                self.now < sent_ns + class.memory_ns
+                    && match scope {
+                        Scope::All => true,
+                        Scope::Zone => zone == entry.zone,
+                        Scope::Number => number == entry.number,
+                    }
+            }
+        }
+    }
+
+    /// The share of its capacity that a server surely has at its age; `None` once it is warm.
+    fn cold_share(&self, server: &Server) -> Option<f64> {
+        let age = self.now.saturating_sub(server.cold_since_ns?);
+        let warmth = age as f64 / self.settings.cold_ns.max(1) as f64;
+        (warmth < 1.0).then_some(self.settings.cold_from + (1.0 - self.settings.cold_from) * warmth)
+    }
+
+    /// A just-started server has no ceiling and the fewest unanswered, so it would draw everything: it gets
+    /// this front's mean rate at warm servers times what it can do at its age, and a trickle where none is known.
+    fn cold_ceiling(&self, server: &Server) -> Option<f64> {
+        let share = self.cold_share(server)?;
+        let (mut rate, mut warm) = (0.0, 0.0);
+        for other in self.servers.values() {
+            if other.entry.availability == Availability::Ready
+                && other.suspect.is_none()
+                && self.cold_share(other).is_none()
+            {
+                rate += other.estimate(self.window_s(), 0.0);
+                warm += 1.0;
+            }
+        }
+        let trickle = LEAST_A_WINDOW * 1e9 / WINDOW_NS as f64;
+        Some(if warm > 0.0 {
+            (rate / warm * share).max(trickle)
+        } else {
+            trickle
+        })
+    }
+
+    /// A cold server's share holds over the span in which it would fall over, not just over the window.
+    fn cold_room(&self, server: &Server) -> bool {
+        let Some(ceiling) = self.cold_ceiling(server) else {
+            return true;
+        };
+        let periods = (self.settings.fall_ns / PERIOD_NS).clamp(1, N as u64) as usize;
+        let sent: u32 = server.window.iter().rev().take(periods).map(|p| p.sent).sum();
+        f64::from(sent) < (ceiling * periods as f64 * PERIOD_NS as f64 / 1e9).max(1.0)
+    }
+
+    /// A silent server also shows few unanswered once its attempts have ended: it gets single live calls.
+    fn suspect(&mut self, id: ServerId) {
+        let rest_ns = share(self.gap_ns, TRIAL_GAPS.0);
+        let now = self.now;
+        if let Some(server) = self.servers.get_mut(&id) {
+            server.suspect.get_or_insert(Suspect {
+                next_trial_ns: now + rest_ns,
+                rest_ns,
+            });
+        }
+    }
+
+    fn may_try_suspect(&self, server: &Server) -> bool {
+        server
+            .suspect
+            .is_none_or(|s| server.out.is_empty() && self.now >= s.next_trial_ns)
+    }
+
+    /// Late set-ups press a server before their time-out; one that answers nothing at all is suspected, and
+    /// what waits there is called off while it can still stand elsewhere in time.
+    fn look_at_servers(&mut self, actions: &mut Vec<Action>) {
+        let late_ns = share(self.gap_ns, LATE_SHARE);
+        let silent_ns = share(self.gap_ns, SILENT_GAPS);
+        let ids: Vec<ServerId> = self.servers.keys().copied().collect();
+        for id in ids {
+            let server = &self.servers[&id];
+            let Some(oldest) = server.out.first().map(|o| o.sent_ns) else {
+                continue;
+            };
+            let late = self.now - oldest > late_ns;
+            let silent = self.now - oldest.max(server.heard_ns) > silent_ns;
+            if late {
+                self.press(id);
+            }
+            if silent {
+                self.suspect(id);
+                self.call_off(id, silent_ns, actions);
+            }
+        }
+    }
+
+    fn call_off(&mut self, id: ServerId, older_ns: Nanos, actions: &mut Vec<Action>) {
+        let Some(server) = self.servers.get(&id).filter(|_| self.settings.may_cancel) else {
+            return;
+        };
+        for out in &server.out {
+            let Some(row) = self.calls.get_mut(&out.call) else {
+                continue;
+            };
+            let due = self.now - out.sent_ns > older_ns && !row.calling_off && row.state == State::Out;
+            if due && row.attempts < self.settings.max_attempts {
+                row.calling_off = true;
+                actions.push(Action::Cancel {
+                    call: out.call,
+                    attempt: row.attempts - 1,
+                });
+            }
+        }
+    }
+
+    /// Held and released calls are tried again whenever anything happens: dearest first, then oldest.
+    fn look_at_calls(&mut self, actions: &mut Vec<Action>) {
+        let mut waiting: Vec<(i64, Nanos, CallId)> = Vec::new();
+        for (id, row) in &self.calls {
+            if matches!(row.state, State::Held | State::Releasing) {
+                let worth = self.settings.classes[row.call.class].worth;
+                waiting.push((-(worth * 1000.0) as i64, row.taken_ns, *id));
+            }
+        }
+        waiting.sort_unstable();
+        for (_, _, id) in waiting {
+            self.place(id, actions);
+        }
+    }
+
+    /// One timer at a time: the next period's end, or sooner when a call's release or patience runs out.
+    fn set_wake(&mut self, actions: &mut Vec<Action>) {
+        let mut at = (self.period + 1) * PERIOD_NS;
+        for row in self.calls.values() {
+            match row.state {
+                State::Releasing => at = at.min(row.not_before_ns),
+                State::Held => at = at.min(self.patience_ns(row)),
+                State::Out | State::Standing => {}
+            }
+        }
+        let at = at.max(self.now + 1);
+        if self.wake_ns.is_none_or(|set| at < set) {
+            self.wake_ns = Some(at);
+            actions.push(Action::WakeAt(at));
+        }
+    }
+
+    fn draw(&mut self, below: usize) -> usize {
+        ((u64::from(self.rng.next_u32()) * below.max(1) as u64) >> 32) as usize
+    }
+}
+
+impl Server {
+    fn new(entry: Entry, cold_since_ns: Option<Nanos>, now: Nanos) -> Self {
+        Server {
+            entry,
+            window: std::iter::repeat_n(Period::default(), N).collect(),
+            ceiling_per_s: None,
+            symptom_ns: 0,
+            deaf_until_ns: 0,
+            told_wait_until_ns: 0,
+            out: Vec::new(),
+            delay_ns: 0,
+            heard_ns: now,
+            suspect: None,
+            cold_since_ns,
+            report: Report::default(),
+            report_ns: now,
+        }
+    }
+
+    fn now_mut(&mut self) -> &mut Period {
+        // The window always holds N periods.
+        self.window.back_mut().expect("N is above 0")
+    }
+
+    /// Sabourin's estimate, in set-ups a second; `more` set-ups are counted as if already sent.
+    fn estimate(&self, window_s: f64, more: f64) -> f64 {
+        let offered: u32 = self.window.iter().map(|p| p.offered).sum();
+        let accepted: u32 = self.window.iter().map(|p| p.sent).sum();
+        (f64::from(offered) * CR + (f64::from(accepted) + more) * (CA - CR)) / window_s
+    }
+
+    /// A ceiling lapses in steps once no symptom has been seen for a while: all at once, it would swing.
+    fn lapse(&mut self, now: Nanos) {
+        let Some(ceiling) = self.ceiling_per_s else { return };
+        if now.saturating_sub(self.symptom_ns) < CLEAN_PERIODS * PERIOD_NS {
+            return;
+        }
+        let offered = self.window.iter().map(|p| p.offered).sum::<u32>() as f64 * 1e9 / WINDOW_NS as f64;
+        let raised = ceiling * LAPSE_STEP;
+        self.ceiling_per_s = Some(raised).filter(|c| *c < LIFTED * offered.max(1.0));
+    }
+}
+
+fn share(span: Nanos, of: f64) -> Nanos {
+    (span as f64 * of) as Nanos
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,266 @@
+//! The plain types between a front and its [`Controller`](crate::Controller): settings, events, actions.
+//!
+//! Times are nanoseconds on the front's own clock, which begins anywhere and only advances.
+
+/// A moment or a span, in nanoseconds.
+pub type Nanos = u64;
+/// A call, by the number its front gave it. Never given twice to one controller.
+pub type CallId = u64;
+/// A core server, by the number the list gives it.
+pub type ServerId = u64;
+
+/// How often a call of a class may take effect.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Repeat {
+    /// May be sent and refused freely.
+    Safe,
+    /// Repeats are recognised among the servers of one scope, for a while.
+    Keyed(Scope),
+    /// Must not be sent again once an attempt may have run.
+    Unsafe,
+}
+
+/// The servers among which a keyed call's repeats are recognised.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Scope {
+    /// All of them.
+    All,
+    /// Those of one zone.
+    Zone,
+    /// Those with one number.
+    Number,
+}
+
+/// A class of calls.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Class {
+    /// Wanted set-up time.
+    pub aim_ns: Nanos,
+    /// What a call that stands in time is worth.
+    pub worth: f64,
+    /// Effect of repeated set-ups.
+    pub repeat: Repeat,
+    /// How long a keyed call's repeats are recognised.
+    pub memory_ns: Nanos,
+    /// Numbers of the servers that can take it; empty: any.
+    pub pools: Vec<u32>,
+}
+
+/// What a controller is told once, at its start.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Settings {
+    /// Classes of calls; never empty.
+    pub classes: Vec<Class>,
+    /// Fronts that share the servers, this one included.
+    pub fronts: u32,
+    /// The number of the exchange this front stands in, where there is one; nothing is sent there.
+    pub home: Option<u32>,
+    /// Set-ups that wait are sent again by the network after this span; 0: never.
+    pub resend_ns: Nanos,
+    /// Rest of a call after an attempt that timed out, was cut or was called off.
+    pub release_ns: Nanos,
+    /// Attempts allowed for one call.
+    pub max_attempts: u32,
+    /// Whether attempts may be called off.
+    pub may_cancel: bool,
+    /// Whether callers are told when to come back, and the longest wait they heed; 0: not told.
+    pub max_come_back_ns: Nanos,
+    /// Whether the list of servers must be asked for.
+    pub list_on_request: bool,
+    /// A server starts with at least this share of its capacity,
+    pub cold_from: f64,
+    /// and is warm after this span.
+    pub cold_ns: Nanos,
+    /// A cold server falls over when pressed for this span.
+    pub fall_ns: Nanos,
+    /// Shortest span between two rounds of events.
+    pub tick_ns: Nanos,
+}
+
+/// Whether a listed server may be used.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Availability {
+    /// Takes set-ups.
+    Ready,
+    /// Finishes what it has.
+    Draining,
+    /// Withdrawn.
+    Gone,
+}
+
+/// A server as the list shows it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Entry {
+    /// Its id.
+    pub server: ServerId,
+    /// Its number among exchanges or pools, which calls name as first choice.
+    pub number: u32,
+    /// The zone it is in.
+    pub zone: u32,
+    /// Whether it may be used.
+    pub availability: Availability,
+    /// When it last started; 0: long ago.
+    pub up_since_ns: Nanos,
+}
+
+/// What a piece of list news holds.
+#[derive(Debug, Clone, PartialEq)]
+pub enum News {
+    /// Only the servers that changed.
+    Changes(Vec<Entry>),
+    /// The complete list; servers not in it are gone.
+    Full(Vec<Entry>),
+    /// Asking failed; the list in hand stays in force.
+    Failed,
+}
+
+/// A server's own figures, late and noisy; what it does not tell is `None`.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Report {
+    /// Free circuits or agents towards it.
+    pub free: Option<f64>,
+    /// Wait at its processor.
+    pub wait_ns: Option<Nanos>,
+    /// Set-ups waiting at its processor.
+    pub queue: Option<f64>,
+    /// Share of its processor in use.
+    pub util: Option<f64>,
+    /// Set-ups a second that it can take from all fronts.
+    pub can_take_per_s: Option<f64>,
+}
+
+/// A call handed to this front.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Call {
+    /// Its id.
+    pub id: CallId,
+    /// Its class, an index into the settings.
+    pub class: usize,
+    /// The number of its first choice.
+    pub first_choice: u32,
+    /// How long its caller waits.
+    pub budget_ns: Nanos,
+    /// Circuits it takes.
+    pub width: f64,
+    /// Cut before, and coming again.
+    pub again: bool,
+    /// In transit from another front: goes to its first choice or back.
+    pub in_transit: bool,
+}
+
+/// How an attempt ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// The call stood and has ended.
+    Passed,
+    /// A fault of signalling, or all lines of the number busy.
+    Fault,
+    /// No circuit or agent was free; it never ran.
+    NoCircuit,
+    /// The processor was full; it never ran. With the wait that the server told, if any.
+    ProcessorFull(Option<Nanos>),
+    /// No answer in time; it may have run.
+    TimedOut,
+    /// The server was not reached; it never ran.
+    NoRoute,
+    /// The set-up or the call was cut.
+    Cut,
+    /// Called off.
+    CalledOff,
+    /// Not sent at all; it never ran.
+    NotSent,
+}
+
+impl Outcome {
+    /// Whether this outcome proves that the attempt had no effect.
+    pub fn never_ran(self) -> bool {
+        matches!(
+            self,
+            Outcome::NoCircuit | Outcome::ProcessorFull(_) | Outcome::NoRoute | Outcome::NotSent
+        )
+    }
+
+    /// Whether the call must wait for its release before it is sent again.
+    pub fn needs_release(self) -> bool {
+        matches!(self, Outcome::TimedOut | Outcome::Cut | Outcome::CalledOff)
+    }
+}
+
+/// What happens to a front.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Event {
+    /// News of the list of servers.
+    List(News),
+    /// A call was handed to this front.
+    Call(Call),
+    /// The caller is gone; nothing more is owed.
+    CallerGone(CallId),
+    /// A wake-up that was asked for.
+    Wake,
+    /// The call stands.
+    Standing {
+        /// The call.
+        call: CallId,
+        /// The attempt's number, from 0.
+        attempt: u32,
+    },
+    /// An attempt ended.
+    Settled {
+        /// The call.
+        call: CallId,
+        /// The attempt's number, from 0.
+        attempt: u32,
+        /// The server it was sent to.
+        server: ServerId,
+        /// How it ended.
+        outcome: Outcome,
+        /// Whether the call is over for this front.
+        closed: bool,
+        /// The server's figures.
+        report: Report,
+    },
+    /// A server's figures by themselves.
+    Reported {
+        /// The server.
+        server: ServerId,
+        /// Its figures.
+        report: Report,
+    },
+}
+
+/// What a front is to do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Action {
+    /// Send a set-up.
+    Send {
+        /// The call.
+        call: CallId,
+        /// The server.
+        server: ServerId,
+        /// The attempt's time-out.
+        timeout_ns: Nanos,
+    },
+    /// Call an attempt off.
+    Cancel {
+        /// The call.
+        call: CallId,
+        /// The attempt's number.
+        attempt: u32,
+    },
+    /// Final answer: turned away.
+    Refuse {
+        /// The call.
+        call: CallId,
+        /// When the caller had better come back, if anything is said.
+        come_back_ns: Option<Nanos>,
+    },
+    /// Final answer: failed.
+    Fail {
+        /// The call.
+        call: CallId,
+    },
+    /// Send [`Event::Wake`] at this moment.
+    WakeAt(Nanos),
+    /// Ask for the list and its changes from now on.
+    Subscribe,
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,14 @@
+//! lilacpitch decides, at the edge of a network with central servers, what becomes of each call:
+//! which server gets its set-up, when, and when it is refused.
+//!
+//! The mechanism is call counting after Sabourin (ITC-13): see [`brain`], and [`interface`] for the
+//! plain types it is fed with and answers in. [`wire`] is the text framing of the adapter.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod brain;
+pub mod interface;
+pub mod wire;
+
+pub use brain::Controller;
+pub use interface::{Action, Event, Settings};
