--- a/src/brain.rs
+++ b/src/brain.rs
@@ -39,6 +39,8 @@
 const LEAST_A_WINDOW: f64 = 2.0;
 /// A call held back everywhere may wait here for this share of its aim; then it is refused.
 const HOLD_OF_AIM: f64 = 0.4;
+/// Kept back of a caller's time, as a multiple of the longest standstill of this front so far.
+const STALL_MARGIN: f64 = 1.25;
 /// A server without any answer for so many resend gaps while set-ups are out is suspected silent.
 const SILENT_GAPS: f64 = 2.0;
 /// Rest between single live calls to a suspect, in resend gaps; it doubles up to the second figure.
@@ -116,6 +118,7 @@
     top_worth: f64,
     gap_ns: Nanos,
     wake_ns: Option<Nanos>,
+    stall_ns: Nanos,
     subscribe_ns: Option<Nanos>,
     begun: bool,
 }
@@ -140,6 +143,7 @@
             top_worth,
             gap_ns,
             wake_ns: None,
+            stall_ns: 0,
             subscribe_ns: None,
             begun: false,
             settings,
@@ -184,8 +188,9 @@
                 actions.push(Action::Subscribe);
             }
         }
-        if self.wake_ns.is_some_and(|at| at <= self.now) {
+        if let Some(at) = self.wake_ns.filter(|at| *at <= self.now) {
             self.wake_ns = None;
+            self.stall_ns = self.stall_ns.max(self.now - at);
         }
         if self.subscribe_ns.is_some_and(|at| at <= self.now) {
             self.subscribe_ns = None;
@@ -344,7 +349,7 @@
             call,
             state: State::Held,
             taken_ns: self.now,
-            deadline_ns: self.now + call.budget_ns,
+            deadline_ns: self.now + self.safe_budget_ns(call.budget_ns),
             not_before_ns: self.now,
             attempts: 0,
             server: 0,
@@ -488,7 +493,7 @@
         let aim_ns = self.settings.classes[row.call.class].aim_ns;
         let hold = share(aim_ns, HOLD_OF_AIM);
         let until = row.taken_ns + if row.attempts == 0 { hold } else { aim_ns };
-        until.min(row.deadline_ns.saturating_sub(2 * self.settings.tick_ns))
+        until.min(row.deadline_ns)
     }
 
     fn send(&mut self, id: CallId, server: ServerId, actions: &mut Vec<Action>) {
@@ -596,6 +601,15 @@
         }
     }
 
+    /// What may be used of a caller's time. This front itself may stand still when the time runs out and so
+    /// answer too late: as much is kept back as its own timers were ever late, of half the time at most.
+    fn safe_budget_ns(&self, budget_ns: Nanos) -> Nanos {
+        budget_ns
+            - share(self.stall_ns, STALL_MARGIN)
+                .max(2 * self.settings.tick_ns)
+                .min(budget_ns / 2)
+    }
+
     /// The share of its capacity that a server surely has at its age; `None` once it is warm.
     fn cold_share(&self, server: &Server) -> Option<f64> {
         let age = self.now.saturating_sub(server.cold_since_ns?);
