--- a/src/brain.rs
+++ b/src/brain.rs
@@ -27,6 +27,10 @@
 /// A set-up unanswered for this share of the resend gap is a time-out in the making: it must be seen before
 /// the network sends the set-up again, since repeats are work that feeds the jam.
 const LATE_SHARE: f64 = 0.75;
+/// A set-up expected to wait for so many resend gaps is past state 1.
+const WAIT_GAPS_2: f64 = 2.0;
+/// One symptom cuts a ceiling to no less than this share of it: a count over few calls may be low by chance.
+const LEAST_CUT: f64 = 0.8;
 /// Where nothing is ever resent, this share of the shortest aim stands in for the resend gap.
 const GAP_OF_AIM: f64 = 0.3;
 /// Periods without a symptom before a ceiling starts to lapse.
@@ -224,14 +228,26 @@
 
     /// The overload state of a server for one more set-up: 0, 1 past S1, 2 past S2 of the ceiling.
     fn overload_state(&self, server: &Server) -> u8 {
+        let waiting = self.waiting_state(server);
         let Some(ceiling) = self.ceiling(server) else {
-            return 0;
+            return waiting;
         };
         let estimate = server.estimate(self.window_s(), 1.0);
         match () {
             _ if estimate > S2 * ceiling => 2,
             _ if estimate > S1 * ceiling => 1,
-            _ => 0,
+            _ => waiting,
+        }
+    }
+
+    /// The overload state that the wait there calls for by itself. Counts over a window see a jam of one
+    /// second late; the age of what is unanswered and the last set-up's delay show it as it grows.
+    fn waiting_state(&self, server: &Server) -> u8 {
+        let wait_ns = server.expected_wait_ns(self.now);
+        if wait_ns > share(self.gap_ns, WAIT_GAPS_2) {
+            2
+        } else {
+            u8::from(wait_ns > share(self.gap_ns, LATE_SHARE))
         }
     }
 
@@ -292,12 +308,11 @@
             return;
         }
         // What was sent before this moment goes on giving symptoms for as long as it waits.
-        server.deaf_until_ns = now + gap_ns.max(server.delay_ns);
+        server.deaf_until_ns = now + 2 * gap_ns.max(server.delay_ns);
         let sent = server.estimate(window_s, 0.0);
         let stood = server.window.iter().map(|p| p.stood).sum::<u32>() as f64 / window_s;
-        let rate = if stood > 0.0 { stood.min(sent) } else { sent };
-        let ceiling = server.ceiling_per_s.map_or(rate, |c| c.min(rate));
-        server.ceiling_per_s = Some(ceiling.max(LEAST_A_WINDOW * 1e9 / WINDOW_NS as f64));
+        let least = server.ceiling_per_s.unwrap_or(sent) * LEAST_CUT;
+        server.ceiling_per_s = Some(stood.max(least).max(LEAST_A_WINDOW * 1e9 / WINDOW_NS as f64));
     }
 
     // ---- Events ----
@@ -777,6 +792,16 @@
         (f64::from(offered) * CR + (f64::from(accepted) + more) * (CA - CR)) / window_s
     }
 
+    /// What a set-up sent now would surely wait: as long as the oldest unanswered has, or what is left of the
+    /// last delay when the other fronts keep half of the processor busy.
+    fn expected_wait_ns(&self, now: Nanos) -> Nanos {
+        let oldest = self.out.first().map_or(0, |o| now.saturating_sub(o.sent_ns));
+        oldest.max(
+            self.delay_ns
+                .saturating_sub(now.saturating_sub(self.heard_ns) / 2),
+        )
+    }
+
     /// A ceiling lapses in steps once no symptom has been seen for a while: all at once, it would swing.
     fn lapse(&mut self, now: Nanos) {
         let Some(ceiling) = self.ceiling_per_s else { return };
