--- a/src/brain.rs
+++ b/src/brain.rs
@@ -82,6 +82,7 @@
     out: Vec<Unanswered>,
     delay_ns: Nanos,
     heard_ns: Nanos,
+    sent_ns: Nanos,
     suspect: Option<Suspect>,
     cold_since_ns: Option<Nanos>,
     report: Report,
@@ -310,7 +311,7 @@
         // What was sent before this moment goes on giving symptoms for as long as it waits.
         server.deaf_until_ns = now + 2 * gap_ns.max(server.delay_ns);
         let sent = server.estimate(window_s, 0.0);
-        let stood = server.window.iter().map(|p| p.stood).sum::<u32>() as f64 / window_s;
+        let stood = server.stood_per_s(window_s);
         let least = server.ceiling_per_s.unwrap_or(sent) * LEAST_CUT;
         server.ceiling_per_s = Some(stood.max(least).max(LEAST_A_WINDOW * 1e9 / WINDOW_NS as f64));
     }
@@ -391,7 +392,7 @@
         }
         row.state = State::Standing;
         let server = row.server;
-        self.answered(server, id, true);
+        self.answered(server, id, true, true);
     }
 
     fn on_settled(
@@ -407,7 +408,7 @@
             outcome,
             Outcome::Passed | Outcome::Fault | Outcome::ProcessorFull(_)
         );
-        self.answered(server, id, alive);
+        self.answered(server, id, alive, outcome == Outcome::Passed);
         match outcome {
             Outcome::ProcessorFull(wait) => {
                 self.press(server);
@@ -456,7 +457,7 @@
     }
 
     /// A set-up is no longer unanswered; `alive` says that the server itself answered it.
-    fn answered(&mut self, id: ServerId, call: CallId, alive: bool) {
+    fn answered(&mut self, id: ServerId, call: CallId, alive: bool, stands: bool) {
         let (now, late_ns) = (self.now, share(self.gap_ns, LATE_SHARE));
         let Some(server) = self.servers.get_mut(&id) else {
             return;
@@ -471,11 +472,9 @@
         let delay_ns = now.saturating_sub(sent_ns);
         server.heard_ns = now;
         server.delay_ns = delay_ns;
-        server.now_mut().stood += 1;
-        if let Some(suspect) = server.suspect.take() {
+        server.now_mut().stood += u32::from(stands);
+        if server.suspect.take().is_some() {
             // It may have started anew while it was silent: climb again from the cold share.
-            let silent_ns = now.saturating_sub(suspect.next_trial_ns);
-            let _ = silent_ns;
             server.cold_since_ns = Some(now);
         }
         if delay_ns > late_ns {
@@ -528,6 +527,7 @@
         };
         if let Some(server) = self.servers.get_mut(&server) {
             server.now_mut().sent += 1;
+            server.sent_ns = now;
             if server.out.is_empty() {
                 server.heard_ns = now;
             }
@@ -633,7 +633,7 @@
     }
 
     /// A just-started server has no ceiling and the fewest unanswered, so it would draw everything: it gets
-    /// this front's mean rate at warm servers times what it can do at its age, and a trickle where none is known.
+    /// what stands of this front's calls at warm servers times what it can do at its age, and a trickle where none is known.
     fn cold_ceiling(&self, server: &Server) -> Option<f64> {
         let share = self.cold_share(server)?;
         let (mut rate, mut warm) = (0.0, 0.0);
@@ -642,7 +642,7 @@
                 && other.suspect.is_none()
                 && self.cold_share(other).is_none()
             {
-                rate += other.estimate(self.window_s(), 0.0);
+                rate += other.stood_per_s(self.window_s());
                 warm += 1.0;
             }
         }
@@ -654,14 +654,12 @@
         })
     }
 
-    /// A cold server's share holds over the span in which it would fall over, not just over the window.
+    /// A cold server's share is paced, so that calls held here don't fall on it together the moment it is listed.
     fn cold_room(&self, server: &Server) -> bool {
         let Some(ceiling) = self.cold_ceiling(server) else {
             return true;
         };
-        let periods = (self.settings.fall_ns / PERIOD_NS).clamp(1, N as u64) as usize;
-        let sent: u32 = server.window.iter().rev().take(periods).map(|p| p.sent).sum();
-        f64::from(sent) < (ceiling * periods as f64 * PERIOD_NS as f64 / 1e9).max(1.0)
+        self.now.saturating_sub(server.sent_ns) as f64 >= 1e9 / ceiling
     }
 
     /// A silent server also shows few unanswered once its attempts have ended: it gets single live calls.
@@ -773,6 +771,7 @@
             out: Vec::new(),
             delay_ns: 0,
             heard_ns: now,
+            sent_ns: 0,
             suspect: None,
             cold_since_ns,
             report: Report::default(),
@@ -792,6 +791,10 @@
         (f64::from(offered) * CR + (f64::from(accepted) + more) * (CA - CR)) / window_s
     }
 
+    fn stood_per_s(&self, window_s: f64) -> f64 {
+        f64::from(self.window.iter().map(|p| p.stood).sum::<u32>()) / window_s
+    }
+
     /// What a set-up sent now would surely wait: as long as the oldest unanswered has, or what is left of the
     /// last delay when the other fronts keep half of the processor busy.
     fn expected_wait_ns(&self, now: Nanos) -> Nanos {
