--- a/src/brain.rs
+++ b/src/brain.rs
@@ -412,10 +412,13 @@
         match outcome {
             Outcome::ProcessorFull(wait) => {
                 self.press(server);
-                if let Some(known) = self.servers.get_mut(&server) {
-                    let wait = wait.unwrap_or(self.gap_ns).min(WINDOW_NS);
-                    known.told_wait_until_ns = self.now + wait;
-                }
+                self.hold_off(server, wait.unwrap_or(self.gap_ns).min(WINDOW_NS));
+            }
+            // No line free is a ceiling just as well: what stands there is the rate at which lines come free.
+            Outcome::NoCircuit => {
+                self.press(server);
+                let wait = share(self.gap_ns, 0.5 + self.draw(1000) as f64 / 1000.0);
+                self.hold_off(server, wait);
             }
             Outcome::TimedOut => self.press(server),
             Outcome::NoRoute => self.suspect(server),
@@ -456,6 +459,12 @@
         }
     }
 
+    fn hold_off(&mut self, id: ServerId, wait_ns: Nanos) {
+        if let Some(server) = self.servers.get_mut(&id) {
+            server.told_wait_until_ns = server.told_wait_until_ns.max(self.now + wait_ns);
+        }
+    }
+
     /// A set-up is no longer unanswered; `alive` says that the server itself answered it.
     fn answered(&mut self, id: ServerId, call: CallId, alive: bool, stands: bool) {
         let (now, late_ns) = (self.now, share(self.gap_ns, LATE_SHARE));
