A server's backlog of this front counts as wait

Cause: fronts held back and let go in step, off a delay that is known late, so that servers stood idle in between. Unanswered set-ups over the rate that stood there say now what a further one would wait. Should hold against stalls and jumps in calls too; hurts where few calls stood by chance (one more is held for an answer's time).

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -244,7 +244,7 @@
     /// The overload state that the wait there calls for by itself. Counts over a window see a jam of one
     /// second late; the age of what is unanswered and the last set-up's delay show it as it grows.
     fn waiting_state(&self, server: &Server) -> u8 {
-        let wait_ns = server.expected_wait_ns(self.now);
+        let wait_ns = server.expected_wait_ns(self.now, self.window_s());
         if wait_ns > share(self.gap_ns, WAIT_GAPS_2) {
             2
         } else {
@@ -804,14 +804,20 @@
         f64::from(self.window.iter().map(|p| p.stood).sum::<u32>()) / window_s
     }
 
-    /// What a set-up sent now would surely wait: as long as the oldest unanswered has, or what is left of the
-    /// last delay when the other fronts keep half of the processor busy.
-    fn expected_wait_ns(&self, now: Nanos) -> Nanos {
-        let oldest = self.out.first().map_or(0, |o| now.saturating_sub(o.sent_ns));
-        oldest.max(
-            self.delay_ns
-                .saturating_sub(now.saturating_sub(self.heard_ns) / 2),
-        )
+    /// What a set-up sent now would surely wait: as long as the oldest unanswered has, as long as the server
+    /// takes this front's unanswered at the rate at which they stood of late, or what is left of the last
+    /// delay when the other fronts keep half of the processor busy.
+    fn expected_wait_ns(&self, now: Nanos, window_s: f64) -> Nanos {
+        let decayed = self
+            .delay_ns
+            .saturating_sub(now.saturating_sub(self.heard_ns) / 2);
+        let Some(oldest) = self.out.first() else {
+            return decayed;
+        };
+        let backlog_s = self.out.len() as f64 / self.stood_per_s(window_s).max(1.0 / window_s);
+        decayed
+            .max(now.saturating_sub(oldest.sent_ns))
+            .max((backlog_s * 1e9) as Nanos)
     }
 
     /// A ceiling lapses in steps once no symptom has been seen for a while: all at once, it would swing.
