--- a/src/bin/lilacpitch-wirehost.rs
+++ b/src/bin/lilacpitch-wirehost.rs
@@ -22,22 +22,13 @@
     let (mut bytes, mut reply) = (Vec::new(), String::new());
     loop {
         bytes.clear();
-        if input
-            .read_until(b'\n', &mut bytes)
-            .map_err(|e| format!("reading: {e}"))?
-            == 0
-        {
+        if input.read_until(b'\n', &mut bytes).map_err(|e| format!("reading: {e}"))? == 0 {
             return host.end_of_input().map_err(|e| e.to_string());
         }
         let line = std::str::from_utf8(&bytes)
             .map_err(|_| format!("line {}: field line: not UTF-8", host.lines_read() + 1))?;
-        if host
-            .line(line.trim_end_matches(['\n', '\r']), &mut reply)
-            .map_err(|e| e.to_string())?
-        {
-            output
-                .write_all(reply.as_bytes())
-                .map_err(|e| format!("writing: {e}"))?;
+        if host.line(line.trim_end_matches(['\n', '\r']), &mut reply).map_err(|e| e.to_string())? {
+            output.write_all(reply.as_bytes()).map_err(|e| format!("writing: {e}"))?;
             output.flush().map_err(|e| format!("writing: {e}"))?;
             reply.clear();
         }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -31,6 +31,10 @@
 const WAIT_GAPS_2: f64 = 2.0;
 /// One symptom cuts a ceiling to no less than this share of it: a count over few calls may be low by chance.
 const LEAST_CUT: f64 = 0.8;
+/// A cold server may get so many times what stood there of late.
+const COLD_GROWTH: f64 = 1.5;
+/// What this front's usual rate at a server keeps of itself each period: it is halved in 7 s.
+const USUAL_KEPT: f64 = 0.99;
 /// Where nothing is ever resent, this share of the shortest aim stands in for the resend gap.
 const GAP_OF_AIM: f64 = 0.3;
 /// Periods without a symptom before a ceiling starts to lapse.
@@ -83,6 +87,7 @@
     delay_ns: Nanos,
     heard_ns: Nanos,
     sent_ns: Nanos,
+    usual_per_s: f64,
     suspect: Option<Suspect>,
     cold_since_ns: Option<Nanos>,
     report: Report,
@@ -133,11 +138,7 @@
     pub fn new(settings: Settings, seed: u64) -> Self {
         let top_worth = settings.classes.iter().map(|c| c.worth).fold(f64::MIN, f64::max);
         let least_aim = settings.classes.iter().map(|c| c.aim_ns).min().unwrap_or(0);
-        let gap_ns = if settings.resend_ns > 0 {
-            settings.resend_ns
-        } else {
-            share(least_aim, GAP_OF_AIM)
-        };
+        let gap_ns = if settings.resend_ns > 0 { settings.resend_ns } else { share(least_aim, GAP_OF_AIM) };
         Controller {
             rng: Pcg32::seed_from_u64(seed),
             now: 0,
@@ -164,14 +165,7 @@
             Event::Call(call) => self.on_call(call, actions),
             Event::CallerGone(id) => self.forget(id),
             Event::Standing { call, attempt } => self.on_standing(call, attempt),
-            Event::Settled {
-                call,
-                attempt,
-                server,
-                outcome,
-                closed,
-                report,
-            } => {
+            Event::Settled { call, attempt, server, outcome, closed, report } => {
                 self.on_report(server, report);
                 self.on_settled(call, attempt, server, outcome, closed, actions);
             }
@@ -207,13 +201,16 @@
 
     /// Slides every server's window to the present period; periods without events count as empty.
     fn roll_periods(&mut self) {
-        let period = self.now / PERIOD_NS;
+        let (period, window_s) = (self.now / PERIOD_NS, self.window_s());
         let passed = period - self.period;
         self.period = period;
         for server in self.servers.values_mut() {
             for _ in 0..passed.min(N as u64) {
                 server.window.pop_front();
                 server.window.push_back(Period::default());
+                if server.suspect.is_none() && server.entry.availability == Availability::Ready {
+                    server.usual_per_s = server.stood_per_s(window_s).max(server.usual_per_s * USUAL_KEPT);
+                }
             }
             for _ in 0..passed.min(N as u64 * 4) {
                 server.lapse(self.now);
@@ -344,14 +341,11 @@
                 // Unknown, or started again under the same id: nothing learned before holds.
                 Some(known) => {
                     let out = std::mem::take(&mut known.out);
-                    *known = Server {
-                        out,
-                        ..Server::new(entry, cold, self.now)
-                    };
+                    let usual_per_s = known.usual_per_s;
+                    *known = Server { out, usual_per_s, ..Server::new(entry, cold, self.now) };
                 }
                 None => {
-                    self.servers
-                        .insert(entry.server, Server::new(entry, cold, self.now));
+                    self.servers.insert(entry.server, Server::new(entry, cold, self.now));
                 }
             }
         }
@@ -373,11 +367,7 @@
             may_have_run: None,
         };
         self.calls.insert(call.id, row);
-        if let Some(server) = self
-            .servers
-            .values_mut()
-            .find(|s| s.entry.number == call.first_choice)
-        {
+        if let Some(server) = self.servers.values_mut().find(|s| s.entry.number == call.first_choice) {
             server.now_mut().offered += 1;
         }
         self.place(call.id, actions);
@@ -404,10 +394,7 @@
         closed: bool,
         actions: &mut Vec<Action>,
     ) {
-        let alive = matches!(
-            outcome,
-            Outcome::Passed | Outcome::Fault | Outcome::ProcessorFull(_)
-        );
+        let alive = matches!(outcome, Outcome::Passed | Outcome::Fault | Outcome::ProcessorFull(_));
         self.answered(server, id, alive, outcome == Outcome::Passed);
         match outcome {
             Outcome::ProcessorFull(wait) => {
@@ -502,11 +489,7 @@
         }
         if let Some(server) = self.pick(id) {
             self.send(id, server, actions);
-        } else if self
-            .calls
-            .get(&id)
-            .is_some_and(|row| self.now >= self.patience_ns(row))
-        {
+        } else if self.calls.get(&id).is_some_and(|row| self.now >= self.patience_ns(row)) {
             self.give_up(id, actions);
         }
     }
@@ -529,31 +512,20 @@
         row.server = server;
         row.attempts += 1;
         // Where attempts cannot be called off, only their time-out frees a call from a silent server.
-        let timeout_ns = if may_cancel {
-            left
-        } else {
-            left.min(share(gap_ns, SILENT_GAPS))
-        };
+        let timeout_ns = if may_cancel { left } else { left.min(share(gap_ns, SILENT_GAPS)) };
         if let Some(server) = self.servers.get_mut(&server) {
             server.now_mut().sent += 1;
             server.sent_ns = now;
             if server.out.is_empty() {
                 server.heard_ns = now;
             }
-            server.out.push(Unanswered {
-                call: id,
-                sent_ns: now,
-            });
+            server.out.push(Unanswered { call: id, sent_ns: now });
             if let Some(suspect) = &mut server.suspect {
                 suspect.next_trial_ns = now + suspect.rest_ns;
                 suspect.rest_ns = (suspect.rest_ns * 2).min(share(gap_ns, TRIAL_GAPS.1));
             }
         }
-        actions.push(Action::Send {
-            call: id,
-            server,
-            timeout_ns,
-        });
+        actions.push(Action::Send { call: id, server, timeout_ns });
     }
 
     /// The final answer, at once. Refused where the rules allow it, else failed.
@@ -570,10 +542,7 @@
         // Drawn, so that refused callers don't come back in step.
         let wait = self.gap_ns + share(self.gap_ns, self.draw(1000) as f64 / 1000.0);
         let come_back_ns = Some(wait.min(self.settings.max_come_back_ns)).filter(|w| *w > 0);
-        actions.push(Action::Refuse {
-            call: id,
-            come_back_ns,
-        });
+        actions.push(Action::Refuse { call: id, come_back_ns });
     }
 
     fn forget(&mut self, id: CallId) {
@@ -628,10 +597,7 @@
     /// What may be used of a caller's time. This front itself may stand still when the time runs out and so
     /// answer too late: as much is kept back as its own timers were ever late, of half the time at most.
     fn safe_budget_ns(&self, budget_ns: Nanos) -> Nanos {
-        budget_ns
-            - share(self.stall_ns, STALL_MARGIN)
-                .max(2 * self.settings.tick_ns)
-                .min(budget_ns / 2)
+        budget_ns - share(self.stall_ns, STALL_MARGIN).max(2 * self.settings.tick_ns).min(budget_ns / 2)
     }
 
     /// The share of its capacity that a server surely has at its age; `None` once it is warm.
@@ -656,11 +622,11 @@
             }
         }
         let trickle = LEAST_A_WINDOW * 1e9 / WINDOW_NS as f64;
-        Some(if warm > 0.0 {
-            (rate / warm * share).max(trickle)
-        } else {
-            trickle
-        })
+        // Its own rate before it went down says more than the others', which may be of quite another size. And
+        // what stands there now shows what it can do: it may grow from that, far below what pushes it over.
+        let known = if server.usual_per_s > 0.0 { server.usual_per_s } else { rate / f64::max(warm, 1.0) };
+        let proven = server.stood_per_s(self.window_s()) * COLD_GROWTH;
+        Some((known * share).max(proven).max(trickle))
     }
 
     /// A cold server's share is paced, so that calls held here don't fall on it together the moment it is listed.
@@ -676,17 +642,12 @@
         let rest_ns = share(self.gap_ns, TRIAL_GAPS.0);
         let now = self.now;
         if let Some(server) = self.servers.get_mut(&id) {
-            server.suspect.get_or_insert(Suspect {
-                next_trial_ns: now + rest_ns,
-                rest_ns,
-            });
+            server.suspect.get_or_insert(Suspect { next_trial_ns: now + rest_ns, rest_ns });
         }
     }
 
     fn may_try_suspect(&self, server: &Server) -> bool {
-        server
-            .suspect
-            .is_none_or(|s| server.out.is_empty() && self.now >= s.next_trial_ns)
+        server.suspect.is_none_or(|s| server.out.is_empty() && self.now >= s.next_trial_ns)
     }
 
     /// Late set-ups press a server before their time-out; one that answers nothing at all is suspected, and
@@ -723,10 +684,7 @@
             let due = self.now - out.sent_ns > older_ns && !row.calling_off && row.state == State::Out;
             if due && row.attempts < self.settings.max_attempts {
                 row.calling_off = true;
-                actions.push(Action::Cancel {
-                    call: out.call,
-                    attempt: row.attempts - 1,
-                });
+                actions.push(Action::Cancel { call: out.call, attempt: row.attempts - 1 });
             }
         }
     }
@@ -781,6 +739,7 @@
             delay_ns: 0,
             heard_ns: now,
             sent_ns: 0,
+            usual_per_s: 0.0,
             suspect: None,
             cold_since_ns,
             report: Report::default(),
@@ -808,16 +767,12 @@
     /// takes this front's unanswered at the rate at which they stood of late, or what is left of the last
     /// delay when the other fronts keep half of the processor busy.
     fn expected_wait_ns(&self, now: Nanos, window_s: f64) -> Nanos {
-        let decayed = self
-            .delay_ns
-            .saturating_sub(now.saturating_sub(self.heard_ns) / 2);
+        let decayed = self.delay_ns.saturating_sub(now.saturating_sub(self.heard_ns) / 2);
         let Some(oldest) = self.out.first() else {
             return decayed;
         };
         let backlog_s = self.out.len() as f64 / self.stood_per_s(window_s).max(1.0 / window_s);
-        decayed
-            .max(now.saturating_sub(oldest.sent_ns))
-            .max((backlog_s * 1e9) as Nanos)
+        decayed.max(now.saturating_sub(oldest.sent_ns)).max((backlog_s * 1e9) as Nanos)
     }
 
     /// A ceiling lapses in steps once no symptom has been seen for a while: all at once, it would swing.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -174,10 +174,7 @@
 impl Outcome {
     /// Whether this outcome proves that the attempt had no effect.
     pub fn never_ran(self) -> bool {
-        matches!(
-            self,
-            Outcome::NoCircuit | Outcome::ProcessorFull(_) | Outcome::NoRoute | Outcome::NotSent
-        )
+        matches!(self, Outcome::NoCircuit | Outcome::ProcessorFull(_) | Outcome::NoRoute | Outcome::NotSent)
     }
 
     /// Whether the call must wait for its release before it is sent again.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -48,11 +48,8 @@
             if key.contains('\t') {
                 return fault(key.split('\t').next().unwrap_or(key), "not name=value");
             }
-            let (value, next) = if key == text {
-                (after, "")
-            } else {
-                after.split_once('\t').unwrap_or((after, ""))
-            };
+            let (value, next) =
+                if key == text { (after, "") } else { after.split_once('\t').unwrap_or((after, "")) };
             fields.push((key, value));
             rest = next;
         }
@@ -64,14 +61,12 @@
     }
 
     fn need(&self, key: &str) -> Result<&'a str, Fault> {
-        self.get(key)
-            .ok_or_else(|| (key.to_string(), "missing".to_string()))
+        self.get(key).ok_or_else(|| (key.to_string(), "missing".to_string()))
     }
 
     fn uint(&self, key: &str) -> Result<u64, Fault> {
         let text = self.need(key)?;
-        text.parse()
-            .or_else(|_| fault(key, format!("not a whole number: {text:.40}")))
+        text.parse().or_else(|_| fault(key, format!("not a whole number: {text:.40}")))
     }
 
     fn uint_or(&self, key: &str, default: u64) -> Result<u64, Fault> {
@@ -177,28 +172,19 @@
     let span = |path: &str, default: f64| Ok::<Nanos, Fault>(number(path, default)?.max(0.0) as Nanos);
     let flag = |path: &str, default: bool| match at(path) {
         None | Some(Value::Null) => Ok(default),
-        Some(v) => v
-            .as_bool()
-            .ok_or_else(|| (path.to_string(), "not true or false".to_string())),
+        Some(v) => v.as_bool().ok_or_else(|| (path.to_string(), "not true or false".to_string())),
     };
     let word = |v: Option<&Value>| v.and_then(Value::as_str).unwrap_or("").to_string();
 
     let mut classes = Vec::new();
-    for (index, class) in at("classes")
-        .and_then(Value::as_array)
-        .into_iter()
-        .flatten()
-        .enumerate()
-    {
+    for (index, class) in at("classes").and_then(Value::as_array).into_iter().flatten().enumerate() {
         let figure = |key: &str, default: f64| class.get(key).and_then(Value::as_f64).unwrap_or(default);
         let scope = match word(class.get("dedup_scope")).as_str() {
             "zone" => Scope::Zone,
             "cell" => Scope::Number,
             _ => Scope::All,
         };
-        let pools = at("family_info.pools_by_class")
-            .and_then(|p| p.get(index))
-            .and_then(Value::as_array);
+        let pools = at("family_info.pools_by_class").and_then(|p| p.get(index)).and_then(Value::as_array);
         let aim_ns = figure("aim_ns", 0.0) as Nanos;
         if aim_ns == 0 {
             return fault("classes.aim_ns", "must be above 0");
@@ -213,12 +199,7 @@
                 other => return fault("classes.repeat", format!("unknown: {other:.40}")),
             },
             memory_ns: figure("memory_span_ns", 0.0) as Nanos,
-            pools: pools
-                .into_iter()
-                .flatten()
-                .filter_map(Value::as_u64)
-                .map(|p| p as u32)
-                .collect(),
+            pools: pools.into_iter().flatten().filter_map(Value::as_u64).map(|p| p as u32).collect(),
         });
     }
     if classes.is_empty() {
@@ -239,11 +220,7 @@
         release_ns: span("family_info.release_ns", 0.0)?,
         max_attempts: number("permissions.max_attempts", 1.0)?.max(1.0) as u32,
         may_cancel: flag("permissions.cancel", false)?,
-        max_come_back_ns: if retry_after {
-            span("permissions.max_retry_after_ns", 0.0)?
-        } else {
-            0
-        },
+        max_come_back_ns: if retry_after { span("permissions.max_retry_after_ns", 0.0)? } else { 0 },
         list_on_request: word(at("discovery")) == "on_request",
         cold_from: number("rules.cold_from", 1.0)?.clamp(0.0, 1.0),
         cold_ns: span("rules.cold_ns", 0.0)?,
@@ -273,29 +250,16 @@
 pub fn print(front: u64, action: &Action, out: &mut String) {
     // Writing to a String cannot fail.
     let _ = match *action {
-        Action::Send {
-            call,
-            server,
-            timeout_ns,
-        } => {
-            writeln!(
-                out,
-                "SEND\tfront={front}\thandle={call}\tserver={server}\ttimeout_ns={timeout_ns}"
-            )
+        Action::Send { call, server, timeout_ns } => {
+            writeln!(out, "SEND\tfront={front}\thandle={call}\tserver={server}\ttimeout_ns={timeout_ns}")
         }
         Action::Cancel { call, attempt } => {
             writeln!(out, "ABANDON\tfront={front}\thandle={call}\thop={attempt}")
         }
-        Action::Refuse {
-            call,
-            come_back_ns: Some(wait),
-        } => {
+        Action::Refuse { call, come_back_ns: Some(wait) } => {
             writeln!(out, "DECLINE\tfront={front}\thandle={call}\tcome_back_ns={wait}")
         }
-        Action::Refuse {
-            call,
-            come_back_ns: None,
-        } => {
+        Action::Refuse { call, come_back_ns: None } => {
             writeln!(out, "DECLINE\tfront={front}\thandle={call}")
         }
         Action::Fail { call } => writeln!(out, "FAIL\tfront={front}\thandle={call}"),
@@ -341,11 +305,7 @@
     }
 
     fn error(&self, (field, what): Fault) -> WireError {
-        WireError {
-            line: self.lines,
-            field,
-            what,
-        }
+        WireError { line: self.lines, field, what }
     }
 
     /// Takes one line; `true` when `reply` holds a complete reply.
@@ -404,14 +364,7 @@
             let (settings, report_fields) = settings(info)?;
             let classes = settings.classes.len();
             let controller = Controller::new(settings, seed);
-            self.fronts.insert(
-                front,
-                Hosted {
-                    controller,
-                    report_fields,
-                    classes,
-                },
-            );
+            self.fronts.insert(front, Hosted { controller, report_fields, classes });
             return Ok(false);
         }
         if name == "DETACH" {
@@ -427,10 +380,7 @@
                 let kind = fields.uint("kind")?;
                 let list = || -> Result<Vec<Entry>, Fault> {
                     let set = fields.uint("set_id")?;
-                    self.lists
-                        .get(&set)
-                        .cloned()
-                        .ok_or_else(|| ("set_id".into(), "no such list".into()))
+                    self.lists.get(&set).cloned().ok_or_else(|| ("set_id".into(), "no such list".into()))
                 };
                 Event::List(match kind {
                     0 => News::Changes(list()?),
@@ -459,10 +409,7 @@
                 fields.uint("key_back")?;
                 Event::Wake
             }
-            "UNDER_WAY" => Event::Standing {
-                call: fields.uint("handle")?,
-                attempt: fields.small("hop")?,
-            },
+            "UNDER_WAY" => Event::Standing { call: fields.uint("handle")?, attempt: fields.small("hop")? },
             "SETTLED" => Event::Settled {
                 call: fields.uint("handle")?,
                 attempt: fields.small("hop")?,
@@ -474,10 +421,7 @@
             "ECHO" => {
                 fields.need("result")?;
                 let report = fields.report(&hosted.report_fields)?;
-                Event::Reported {
-                    server: fields.uint("server")?,
-                    report,
-                }
+                Event::Reported { server: fields.uint("server")?, report }
             }
             // Fronts' messages are not used.
             _ => return Ok(false),
