--- a/src/brain.rs
+++ b/src/brain.rs
@@ -267,7 +267,11 @@
         match self.overload_state(server) {
             0 => false,
             1 => cheapest && !urgent,
-            _ => !urgent,
+            // Calls that were cut come again all at once: even urgent ones wait where they would stand too late.
+            _ => {
+                let wait_ns = server.expected_wait_ns(self.now, self.window_s());
+                !urgent || wait_ns > self.settings.classes[call.class].aim_ns
+            }
         }
     }
 
