Overtaken set-ups are lost; a suspect is cold only after three trials

One loss looked like silence, then like a cold start, and its trickle met the next loss. Told from a slow server: delays of what stood did not grow.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -51,6 +51,8 @@
 const STALL_MARGIN: f64 = 1.25;
 /// A server without any answer for so many resend gaps while set-ups are out is suspected silent.
 const SILENT_GAPS: f64 = 2.0;
+/// A suspect that let this many live calls pass unanswered may have started anew meanwhile.
+const COLD_TRIALS: u32 = 3;
 /// Rest between single live calls to a suspect, in resend gaps; it doubles up to the second figure.
 const TRIAL_GAPS: (f64, f64) = (1.0, 4.0);
 
@@ -67,6 +69,8 @@
 struct Unanswered {
     call: CallId,
     sent_ns: Nanos,
+    /// A later set-up was answered first: this one does not wait in line, it is lost.
+    overtaken: bool,
 }
 
 /// A server that is taken to be silent, until a single live call stands there.
@@ -74,6 +78,7 @@
 struct Suspect {
     next_trial_ns: Nanos,
     rest_ns: Nanos,
+    trials: u32,
 }
 
 struct Server {
@@ -227,9 +232,7 @@
     /// The overload state of a server for one more set-up: 0, 1 past S1, 2 past S2 of the ceiling.
     fn overload_state(&self, server: &Server) -> u8 {
         let waiting = self.waiting_state(server);
-        let Some(ceiling) = self.ceiling(server) else {
-            return waiting;
-        };
+        let Some(ceiling) = self.ceiling(server) else { return waiting };
         let estimate = server.estimate(self.window_s(), 1.0);
         match () {
             _ if estimate > S2 * ceiling => 2,
@@ -302,9 +305,7 @@
     /// recent rate there, that is to what the server answered of what was sent.
     fn press(&mut self, id: ServerId) {
         let (now, window_s, gap_ns) = (self.now, self.window_s(), self.gap_ns);
-        let Some(server) = self.servers.get_mut(&id) else {
-            return;
-        };
+        let Some(server) = self.servers.get_mut(&id) else { return };
         server.symptom_ns = now;
         if now < server.deaf_until_ns {
             return;
@@ -378,9 +379,7 @@
     }
 
     fn on_standing(&mut self, id: CallId, attempt: u32) {
-        let Some(row) = self.calls.get_mut(&id) else {
-            return;
-        };
+        let Some(row) = self.calls.get_mut(&id) else { return };
         if row.state != State::Out || attempt + 1 != row.attempts {
             return;
         }
@@ -415,9 +414,7 @@
             Outcome::NoRoute => self.suspect(server),
             _ => {}
         }
-        let Some(row) = self.calls.get_mut(&id) else {
-            return;
-        };
+        let Some(row) = self.calls.get_mut(&id) else { return };
         if closed {
             self.forget(id);
             return;
@@ -459,12 +456,8 @@
     /// A set-up is no longer unanswered; `alive` says that the server itself answered it.
     fn answered(&mut self, id: ServerId, call: CallId, alive: bool, stands: bool) {
         let (now, late_ns) = (self.now, share(self.gap_ns, LATE_SHARE));
-        let Some(server) = self.servers.get_mut(&id) else {
-            return;
-        };
-        let Some(at) = server.out.iter().position(|o| o.call == call) else {
-            return;
-        };
+        let Some(server) = self.servers.get_mut(&id) else { return };
+        let Some(at) = server.out.iter().position(|o| o.call == call) else { return };
         let sent_ns = server.out.remove(at).sent_ns;
         if !alive {
             return;
@@ -472,8 +465,11 @@
         let delay_ns = now.saturating_sub(sent_ns);
         server.heard_ns = now;
         server.delay_ns = delay_ns;
+        for out in server.out.iter_mut().filter(|o| o.sent_ns < sent_ns) {
+            out.overtaken = true;
+        }
         server.now_mut().stood += u32::from(stands);
-        if server.suspect.take().is_some() {
+        if server.suspect.take().is_some_and(|s| s.trials >= COLD_TRIALS) {
             // It may have started anew while it was silent: climb again from the cold share.
             server.cold_since_ns = Some(now);
         }
@@ -508,9 +504,7 @@
 
     fn send(&mut self, id: CallId, server: ServerId, actions: &mut Vec<Action>) {
         let (now, may_cancel, gap_ns) = (self.now, self.settings.may_cancel, self.gap_ns);
-        let Some(row) = self.calls.get_mut(&id) else {
-            return;
-        };
+        let Some(row) = self.calls.get_mut(&id) else { return };
         let left = row.deadline_ns.saturating_sub(now);
         row.state = State::Out;
         row.server = server;
@@ -523,8 +517,9 @@
             if server.out.is_empty() {
                 server.heard_ns = now;
             }
-            server.out.push(Unanswered { call: id, sent_ns: now });
+            server.out.push(Unanswered { call: id, sent_ns: now, overtaken: false });
             if let Some(suspect) = &mut server.suspect {
+                suspect.trials += 1;
                 suspect.next_trial_ns = now + suspect.rest_ns;
                 suspect.rest_ns = (suspect.rest_ns * 2).min(share(gap_ns, TRIAL_GAPS.1));
             }
@@ -635,9 +630,7 @@
 
     /// A cold server's share is paced, so that calls held here don't fall on it together the moment it is listed.
     fn cold_room(&self, server: &Server) -> bool {
-        let Some(ceiling) = self.cold_ceiling(server) else {
-            return true;
-        };
+        let Some(ceiling) = self.cold_ceiling(server) else { return true };
         self.now.saturating_sub(server.sent_ns) as f64 >= 1e9 / ceiling
     }
 
@@ -646,7 +639,7 @@
         let rest_ns = share(self.gap_ns, TRIAL_GAPS.0);
         let now = self.now;
         if let Some(server) = self.servers.get_mut(&id) {
-            server.suspect.get_or_insert(Suspect { next_trial_ns: now + rest_ns, rest_ns });
+            server.suspect.get_or_insert(Suspect { next_trial_ns: now + rest_ns, rest_ns, trials: 0 });
         }
     }
 
@@ -661,10 +654,9 @@
         let silent_ns = share(self.gap_ns, SILENT_GAPS);
         let ids: Vec<ServerId> = self.servers.keys().copied().collect();
         for id in ids {
+            self.call_off(id, |out, age_ns| out.overtaken && age_ns > late_ns, actions);
             let server = &self.servers[&id];
-            let Some(oldest) = server.out.first().map(|o| o.sent_ns) else {
-                continue;
-            };
+            let Some(oldest) = server.oldest_ns() else { continue };
             let late = self.now - oldest > late_ns;
             let silent = self.now - oldest.max(server.heard_ns) > silent_ns;
             if late {
@@ -672,20 +664,21 @@
             }
             if silent {
                 self.suspect(id);
-                self.call_off(id, silent_ns, actions);
+                self.call_off(id, |_, age_ns| age_ns > silent_ns, actions);
             }
         }
     }
 
-    fn call_off(&mut self, id: ServerId, older_ns: Nanos, actions: &mut Vec<Action>) {
-        let Some(server) = self.servers.get(&id).filter(|_| self.settings.may_cancel) else {
-            return;
-        };
+    fn call_off(
+        &mut self,
+        id: ServerId,
+        lost: impl Fn(&Unanswered, Nanos) -> bool,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(server) = self.servers.get(&id).filter(|_| self.settings.may_cancel) else { return };
         for out in &server.out {
-            let Some(row) = self.calls.get_mut(&out.call) else {
-                continue;
-            };
-            let due = self.now - out.sent_ns > older_ns && !row.calling_off && row.state == State::Out;
+            let Some(row) = self.calls.get_mut(&out.call) else { continue };
+            let due = lost(out, self.now - out.sent_ns) && !row.calling_off && row.state == State::Out;
             if due && row.attempts < self.settings.max_attempts {
                 row.calling_off = true;
                 actions.push(Action::Cancel { call: out.call, attempt: row.attempts - 1 });
@@ -772,11 +765,15 @@
     /// delay when the other fronts keep half of the processor busy.
     fn expected_wait_ns(&self, now: Nanos, window_s: f64) -> Nanos {
         let decayed = self.delay_ns.saturating_sub(now.saturating_sub(self.heard_ns) / 2);
-        let Some(oldest) = self.out.first() else {
-            return decayed;
-        };
-        let backlog_s = self.out.len() as f64 / self.stood_per_s(window_s).max(1.0 / window_s);
-        decayed.max(now.saturating_sub(oldest.sent_ns)).max((backlog_s * 1e9) as Nanos)
+        let Some(oldest_ns) = self.oldest_ns() else { return decayed };
+        let waiting = self.out.iter().filter(|o| !o.overtaken).count();
+        let backlog_s = waiting as f64 / self.stood_per_s(window_s).max(1.0 / window_s);
+        decayed.max(now.saturating_sub(oldest_ns)).max((backlog_s * 1e9) as Nanos)
+    }
+
+    /// When the oldest set-up that waits in line there was sent.
+    fn oldest_ns(&self) -> Option<Nanos> {
+        self.out.iter().find(|o| !o.overtaken).map(|o| o.sent_ns)
     }
 
     /// A ceiling lapses in steps once no symptom has been seen for a while: all at once, it would swing.
