--- a/src/brain.rs
+++ b/src/brain.rs
@@ -489,11 +489,20 @@
         }
         if let Some(server) = self.pick(id) {
             self.send(id, server, actions);
-        } else if self.calls.get(&id).is_some_and(|row| self.now >= self.patience_ns(row)) {
+        } else if self.calls.get(&id).is_some_and(|row| self.hopeless(row)) {
             self.give_up(id, actions);
         }
     }
 
+    /// Whether nothing more can come of a call: then it gets its answer at once.
+    fn hopeless(&self, row: &Row) -> bool {
+        let unsafe_again = self.settings.classes[row.call.class].repeat == Repeat::Unsafe;
+        matches!(row.state, State::Held | State::Releasing)
+            && (self.now.max(row.not_before_ns) >= self.patience_ns(row)
+                || row.attempts >= self.settings.max_attempts
+                || (unsafe_again && row.may_have_run.is_some()))
+    }
+
     /// Until when a call that finds no server may be held here.
     fn patience_ns(&self, row: &Row) -> Nanos {
         let aim_ns = self.settings.classes[row.call.class].aim_ns;
--- /dev/null
+++ b/tests/mechanism.rs
@@ -0,0 +1,307 @@
+//! The mechanism through the public interface: window, ceiling, tiers, pick, and the guards beside them.
+
+mod common;
+use common::*;
+use lilacpitch::interface::*;
+use lilacpitch::{Action, Event};
+
+fn two() -> Vec<Entry> {
+    vec![entry(11, 1), entry(22, 2)]
+}
+
+#[test]
+fn first_choice_is_taken_when_nothing_holds_the_call_back() {
+    let mut front = Front::new(settings(), &two());
+    for number in [1, 2, 1, 2] {
+        let (id, actions) = front.call_with(|c| c.first_choice = number);
+        assert_eq!(sent_to(&actions, id), Some(u64::from(number) * 11));
+        front.pass(40 * MS);
+        front.stands(id, 0);
+        front.pass(S);
+    }
+}
+
+#[test]
+fn a_first_choice_that_is_not_listed_leaves_the_draw_by_fewer_unanswered() {
+    let mut front = Front::new(settings(), &two());
+    front.steady(200 * MS, 6 * S);
+    let (busy, actions) = front.call(0);
+    assert_eq!(sent_to(&actions, busy), Some(11));
+    // Whichever of the two is drawn first, the one without unanswered set-ups wins.
+    for _ in 0..8 {
+        let (id, actions) = front.call_with(|c| c.first_choice = 9);
+        assert_eq!(sent_to(&actions, id), Some(22));
+        front.stands(id, 0);
+    }
+}
+
+#[test]
+fn a_full_processor_is_left_alone_for_the_wait_that_it_told() {
+    let mut front = Front::new(settings(), &two());
+    front.steady(200 * MS, 4 * S);
+    let (id, _) = front.call(0);
+    let again = front.settled(id, 0, 11, Outcome::ProcessorFull(Some(S)));
+    assert_eq!(sent_to(&again, id), Some(22), "never ran: tried elsewhere at once");
+    front.stands(id, 1);
+    front.pass(900 * MS);
+    let (id, actions) = front.call(1);
+    assert_eq!(sent_to(&actions, id), Some(22));
+    front.stands(id, 0);
+    front.pass(200 * MS);
+    let (id, actions) = front.call(1);
+    assert_eq!(sent_to(&actions, id), Some(11));
+}
+
+#[test]
+fn a_ceiling_refuses_the_cheapest_tier_first_and_lapses_after_clean_time() {
+    // One server, so that nothing can go elsewhere. 5 calls a second stand; then one processor full.
+    let mut front = Front::new(settings(), &[entry(11, 1)]);
+    front.steady(200 * MS, 6 * S);
+    let (id, _) = front.call(0);
+    front.settled(id, 0, 11, Outcome::ProcessorFull(Some(10 * MS)));
+    // 5 a second stood, so that is the ceiling, and the window is past both thresholds of it.
+    front.pass(20 * MS);
+    let (dear, actions) = front.call(1);
+    assert_eq!(sent_to(&actions, dear), None, "state 2 holds all non-urgent calls");
+    let (urgent, actions) = front.call_with(|c| c.again = true);
+    assert_eq!(sent_to(&actions, urgent), Some(11), "urgent calls pass");
+    front.stands(urgent, 0);
+    front.event(Event::CallerGone(dear));
+    // As the window slides, it comes down between S2 and S1: dear calls pass again, cheap ones not yet.
+    front.pass(1_000 * MS);
+    let (cheap, actions) = front.call(0);
+    assert_eq!(sent_to(&actions, cheap), None, "state 1 holds the cheapest tier");
+    let (dear, actions) = front.call(1);
+    assert_eq!(sent_to(&actions, dear), Some(11), "and no other");
+    front.stands(dear, 0);
+    front.event(Event::CallerGone(cheap));
+    // Clean time later the ceiling no longer decides anything.
+    front.pass(20 * S);
+    for _ in 0..5 {
+        let (id, actions) = front.call(0);
+        assert_eq!(sent_to(&actions, id), Some(11));
+        front.pass(40 * MS);
+        front.stands(id, 0);
+    }
+}
+
+#[test]
+fn with_one_class_sends_are_held_at_the_ceiling() {
+    let mut one = settings();
+    one.classes.truncate(1);
+    let mut front = Front::new(one, &[entry(11, 1)]);
+    front.steady(200 * MS, 6 * S);
+    let (id, _) = front.call(0);
+    front.settled(id, 0, 11, Outcome::ProcessorFull(Some(10 * MS)));
+    let from = front.now;
+    front.steady(100 * MS, 2 * S);
+    let sends = front.log.iter().filter(|(at, a)| *at > from && matches!(a, Action::Send { .. })).count();
+    // 5 a second stood; 20 are offered in 2 s. S2 of the ceiling leaves room for 9 at most, lapse aside.
+    assert!((4..=11).contains(&sends), "{sends}");
+}
+
+#[test]
+fn a_refused_call_gets_its_answer_with_a_drawn_wait() {
+    let mut front = Front::new(settings(), &[]);
+    let mut waits = Vec::new();
+    for _ in 0..4 {
+        let (id, mut actions) = front.call(0);
+        actions.extend(front.pass(2 * S));
+        let wait = actions.iter().find_map(|a| match a {
+            Action::Refuse { call, come_back_ns } if *call == id => *come_back_ns,
+            _ => None,
+        });
+        waits.push(wait.expect("refused, with a wait"));
+    }
+    waits.dedup();
+    assert!(waits.len() > 1, "no shared rhythm: {waits:?}");
+    assert!(waits.iter().all(|w| *w <= 2 * S));
+}
+
+#[test]
+fn a_jam_is_seen_by_its_backlog_before_any_time_out() {
+    let mut front = Front::new(settings(), &[entry(11, 1)]);
+    front.steady(500 * MS, 6 * S);
+    // Two a second stand here. Calls that come at once are not all put in line.
+    let sent = (0..10)
+        .filter(|_| {
+            let (id, a) = front.call(0);
+            sent_to(&a, id).is_some()
+        })
+        .count();
+    assert!(sent <= 2, "{sent} sent at once");
+}
+
+#[test]
+fn an_overtaken_set_up_is_called_off_and_sent_again_after_its_release() {
+    // Incident ifcc5a6: a server loses some set-ups and answers the rest at once.
+    let mut front = Front::new(settings(), &two());
+    front.steady(100 * MS, 6 * S);
+    let (lost, actions) = front.call(1);
+    assert_eq!(sent_to(&actions, lost), Some(11));
+    front.pass(20 * MS);
+    let (quick, actions) = front.call(1);
+    assert_eq!(sent_to(&actions, quick), Some(11));
+    front.pass(30 * MS);
+    front.stands(quick, 0);
+    let done = front.pass(400 * MS);
+    assert!(done.contains(&Action::Cancel { call: lost, attempt: 0 }));
+    front.settled(lost, 0, 11, Outcome::CalledOff);
+    let done = front.pass(249 * MS);
+    assert_eq!(sent_to(&done, lost), None);
+    let done = front.pass(10 * MS);
+    assert!(sent_to(&done, lost).is_some());
+    // One loss is not silence: others still go there.
+    let (id, actions) = front.call(1);
+    assert_eq!(sent_to(&actions, id), Some(11));
+}
+
+#[test]
+fn a_silent_server_gets_single_live_calls_until_one_stands() {
+    let mut front = Front::new(settings(), &two());
+    front.steady(200 * MS, 6 * S);
+    let (first, _) = front.call(1);
+    let done = front.pass(900 * MS);
+    assert!(done.contains(&Action::Cancel { call: first, attempt: 0 }), "silent: called off");
+    front.settled(first, 0, 11, Outcome::CalledOff);
+    let mut trials = 0;
+    for _ in 0..60 {
+        let (id, actions) = front.call(1);
+        match sent_to(&actions, id) {
+            Some(11) => trials += 1,
+            Some(_) => {
+                front.stands(id, 0);
+            }
+            None => {}
+        }
+        for action in front.pass(50 * MS) {
+            if let Action::Cancel { call, attempt } = action {
+                front.settled(call, attempt, 11, Outcome::CalledOff);
+            }
+        }
+    }
+    assert!((1..=4).contains(&trials), "{trials} trials in 3 s");
+}
+
+#[test]
+fn cut_calls_that_come_again_together_do_not_flood_a_pressed_server() {
+    // Incident i36bc4a: hundreds of cut calls came again at once and passed every state.
+    let mut front = Front::new(settings(), &[entry(11, 1)]);
+    front.steady(250 * MS, 6 * S);
+    let mut sent = 0;
+    for _ in 0..40 {
+        let (id, actions) = front.call_with(|c| c.again = true);
+        sent += usize::from(sent_to(&actions, id).is_some());
+    }
+    assert!((2..=10).contains(&sent), "{sent} of 40 sent at once");
+}
+
+#[test]
+fn a_front_that_stands_still_answers_earlier_from_then_on() {
+    // Incident i9e28fc: batches came late, and the time of held calls ran out meanwhile.
+    let mut front = Front::new(settings(), &[entry(11, 1)]);
+    front.now += 2 * S;
+    front.event(Event::Wake);
+    let (_, actions) = front.call(1);
+    let timeout = actions.iter().find_map(|a| match a {
+        Action::Send { timeout_ns, .. } => Some(*timeout_ns),
+        _ => None,
+    });
+    assert!(timeout.is_some_and(|t| t <= 1_500 * MS), "{timeout:?}");
+}
+
+#[test]
+fn a_server_just_started_gets_its_share_only_and_no_burst() {
+    let mut front = Front::new(settings(), &two());
+    for number in [1, 2] {
+        for _ in 0..30 {
+            let (id, _) = front.call_with(|c| c.first_choice = number);
+            front.pass(40 * MS);
+            front.stands(id, 0);
+        }
+    }
+    let fresh = Entry { up_since_ns: front.now, ..entry(33, 3) };
+    front.event(Event::List(News::Changes(vec![fresh])));
+    let mut sent = 0;
+    for _ in 0..100 {
+        let (id, actions) = front.call_with(|c| c.first_choice = 3);
+        sent += usize::from(sent_to(&actions, id) == Some(33));
+        front.stands(id, 0);
+        front.pass(10 * MS);
+    }
+    // 12 a second stood at the warm ones at most; 0.3 of that, and growth from what stands.
+    assert!((1..=6).contains(&sent), "{sent} in the first second");
+}
+
+#[test]
+fn a_server_back_under_its_id_climbs_from_its_own_earlier_rate() {
+    // granja-peru big-2: a large server came back beside small ones and got a share of what those take.
+    let mut front = Front::new(settings(), &two());
+    front.steady(60 * MS, 6 * S);
+    front.event(Event::List(News::Changes(vec![Entry { availability: Availability::Gone, ..entry(11, 1) }])));
+    front.pass(3 * S);
+    front.event(Event::List(News::Changes(vec![Entry { up_since_ns: front.now, ..entry(11, 1) }])));
+    let from = front.now;
+    front.steady(60 * MS, 3 * S);
+    let back = |a: &Action| matches!(a, Action::Send { server: 11, .. });
+    let sent = front.log.iter().filter(|(at, a)| *at > from && back(a)).count();
+    // 16 a second before: about a third of that at first, not the trickle of 2 in a window.
+    assert!((8..=30).contains(&sent), "{sent} in 3 s");
+}
+
+#[test]
+fn free_lines_that_ran_out_set_a_ceiling_and_a_short_rest() {
+    let mut front = Front::new(settings(), &two());
+    front.steady(200 * MS, 4 * S);
+    let (id, _) = front.call(1);
+    let again = front.settled(id, 0, 11, Outcome::NoCircuit);
+    assert_eq!(sent_to(&again, id), Some(22));
+    front.stands(id, 1);
+    let (id, actions) = front.call(1);
+    assert_eq!(sent_to(&actions, id), Some(22), "not asked again at once");
+    front.stands(id, 0);
+    front.pass(1_300 * MS);
+    let (id, actions) = front.call(1);
+    assert_eq!(sent_to(&actions, id), Some(11));
+}
+
+#[test]
+fn identical_events_give_identical_actions() {
+    let run = || {
+        let mut front = Front::new(settings(), &two());
+        front.steady(30 * MS, 3 * S);
+        for i in 0..50 {
+            front.call_with(|c| c.first_choice = 1 + i % 3);
+            front.pass(20 * MS);
+        }
+        front.pass(5 * S);
+        front.log
+    };
+    let (one, other) = (run(), run());
+    assert!(one.len() > 100);
+    assert_eq!(one, other);
+}
+
+#[test]
+fn odd_events_are_taken_without_a_panic_or_an_answer() {
+    let mut front = Front::new(settings(), &two());
+    let (id, _) = front.call(0);
+    let quiet = |actions: Vec<Action>| actions.iter().all(|a| matches!(a, Action::WakeAt(_)));
+    assert!(quiet(front.stands(999, 0)), "unknown call");
+    assert!(quiet(front.stands(id, 5)), "attempt never made");
+    assert!(quiet(front.settled(999, 0, 11, Outcome::TimedOut)));
+    assert!(quiet(front.settled(id, 7, 11, Outcome::TimedOut)), "attempt never made");
+    assert!(quiet(front.settled(id, 7, 777, Outcome::NoRoute)), "server never listed");
+    assert!(quiet(front.event(Event::CallerGone(999))));
+    assert!(quiet(front.event(Event::Wake)));
+    // The same id again is ignored, and a class that is not in the settings too.
+    front.next = id;
+    assert!(quiet(front.call(0).1));
+    assert!(quiet(front.call_with(|c| c.class = 40).1));
+    // A clock that runs back stands still.
+    front.now -= 50 * S;
+    assert!(quiet(front.event(Event::Wake)));
+    assert!(quiet(front.event(Event::List(News::Failed))));
+    front.now += 51 * S;
+    assert!(quiet(front.stands(id, 0)), "the call itself was kept");
+}
--- /dev/null
+++ b/tests/wire.rs
@@ -0,0 +1,148 @@
+//! The wire: framing, every event and outcome, malformed lines, and the adapter as a process.
+
+use lilacpitch::wire::Host;
+use std::io::Write;
+use std::process::{Command, Stdio};
+
+const INFO: &str = r#"{"balancers":2,"classes":[{"aim_ns":1500000000,"worth":1.0},{"aim_ns":1500000000,"worth":3.0}],"family_info":{"release_ns":200000000,"retransmit_ns":300000000,"home_no":-1},"permissions":{"cancel":true,"max_attempts":4,"retry_after":true,"max_retry_after_ns":2000000000},"report":{"fields":["free","size"]},"rules":{"cold_from":0.4,"cold_ns":9000000000,"fall_ns":1000000000},"tick_ns":5000000,"novelty":[1]}"#;
+
+fn play(lines: &[String]) -> Result<String, String> {
+    let (mut host, mut reply) = (Host::new(), String::new());
+    for line in lines {
+        host.line(line, &mut reply).map_err(|e| e.to_string())?;
+    }
+    host.end_of_input().map_err(|e| e.to_string())?;
+    Ok(reply)
+}
+
+fn start(front: u64) -> Vec<String> {
+    let text = format!(
+        "LAUNCH\tfront={front}\tseed=5\tinfo={INFO}\nINVENTORY\tset_id=0\trecords=2\n\
+         ROW\tserver=51\track_zone=0\tsku=0\tnumber=0\tavailability=1\tunits=1\n\
+         ROW\tserver=52\track_zone=1\tsku=0\tnumber=1\tavailability=1\tunits=1.5\tup_since_ns=61\n\
+         ROSTER_CHANGE\tfront={front}\tset_id=0\tkind=2\tepoch=41"
+    );
+    text.lines().map(str::to_string).collect()
+}
+
+fn batch(at: u64, inner: Vec<String>) -> Vec<String> {
+    let mut lines = vec![format!("TURN\tnow_ns={at}")];
+    lines.extend(inner);
+    lines.extend(["YOUR_TURN".to_string(), String::new()]);
+    lines
+}
+
+fn ask(front: u64, handle: u64) -> String {
+    format!("ASK\tfront={front}\thandle={handle}\tterminates_at=0\tvia=-1\tbudget_ns=3000000000\tcategory=1\tunits=1\titem=7\tbrand_new=x")
+}
+
+#[test]
+fn an_empty_batch_is_done() {
+    assert_eq!(play(&batch(8, vec![])), Ok("DONE\n".to_string()));
+}
+
+#[test]
+fn a_call_is_sent_to_its_first_choice_and_the_reply_ends_with_done() {
+    let mut lines = start(3);
+    lines.push(ask(3, 900));
+    let reply = play(&batch(50_000_000_000, lines)).unwrap();
+    assert!(reply.contains("SEND\tfront=3\thandle=900\tserver=51\ttimeout_ns="), "{reply}");
+    assert!(reply.ends_with("DONE\n"));
+}
+
+#[test]
+fn every_event_and_outcome_is_taken() {
+    let mut lines = batch(50_000_000_000, start(3));
+    let results = ["pass", "fault", "no_room", "too_slow", "no_route", "cut", "undone", "stale_send"];
+    for (i, result) in results.iter().enumerate() {
+        let handle = i + 1;
+        lines.extend(batch(51_000_000_000 + i as u64 * 1_000_000_000, vec![
+            ask(3, handle as u64),
+            format!("UNDER_WAY\tfront=3\thandle={handle}\thop=0\tserver=51\tdelay_seen_ns=5"),
+            format!("SETTLED\tfront=3\thandle={handle}\tresult={result}\thop=0\tdelay_seen_ns=5\tserver=51\tnote=51\tclosed=1\tpressure=3,4"),
+            "ECHO\tfront=3\tserver=51\tresult=pass\tdelay_seen_ns=0\tpressure=2,4,-1".to_string(),
+            "FIRED\tfront=3\tkey_back=1".to_string(),
+            format!("CLIENT_GONE\tfront=3\thandle={handle}"),
+            "NEIGHBOUR_SAYS\tfront=3\tsender=1\tcontents=6869".to_string(),
+            "ROSTER_CHANGE\tfront=3\tkind=3\tepoch=42".to_string(),
+        ]));
+    }
+    lines.extend(batch(90_000_000_000, vec!["DETACH\tfront=3".into(), "FIRED\tfront=3\tkey_back=1".into()]));
+    let reply = play(&lines).unwrap();
+    assert_eq!(reply.matches("DONE\n").count(), results.len() + 2);
+}
+
+#[test]
+fn fronts_share_nothing() {
+    let one = |front: u64| {
+        let mut lines = start(front);
+        lines.push(ask(front, 900));
+        lines
+    };
+    let together: Vec<String> = one(1).into_iter().chain(one(2)).collect();
+    let together = play(&batch(50_000_000_000, together)).unwrap();
+    let apart: String =
+        [1, 2].map(|f| play(&batch(50_000_000_000, one(f))).unwrap().replace("DONE\n", "")).concat();
+    assert_eq!(together.replace("DONE\n", ""), apart);
+}
+
+#[test]
+fn malformed_lines_name_line_and_field() {
+    let cases: Vec<(Vec<String>, &str)> = vec![
+        (vec!["TURN\tnow_ns=soon".into()], "line 1: field now_ns"),
+        (vec!["TURN".into()], "line 1: field now_ns: missing"),
+        (vec!["HELLO\tfront=1".into()], "line 1: field HELLO: outside a batch"),
+        (vec!["TURN\tnow_ns=1".into(), "HELLO\tfront=1".into()], "line 2: field HELLO: unknown message"),
+        (vec!["TURN\tnow_ns=1".into(), "FIRED\tfront".into()], "line 2: field front: not name=value"),
+        (
+            vec!["TURN\tnow_ns=1".into(), "LAUNCH\tfront=1\tseed=1\tinfo={".into()],
+            "line 2: field info: not JSON",
+        ),
+        (
+            vec!["TURN\tnow_ns=1".into(), "LAUNCH\tfront=1\tseed=1\tinfo={}".into()],
+            "field classes: no classes",
+        ),
+        (
+            vec![
+                "TURN\tnow_ns=1".into(),
+                format!("LAUNCH\tfront=1\tseed=1\tinfo={}", INFO.replace("5000000,", "0,")),
+            ],
+            "field tick_ns: must be above 0",
+        ),
+        (
+            vec!["TURN\tnow_ns=1".into(), "INVENTORY\tset_id=0\trecords=1".into(), "YOUR_TURN".into()],
+            "rows missing",
+        ),
+        (vec!["TURN\tnow_ns=1".into()], "input ended within a batch"),
+    ];
+    for (lines, expected) in cases {
+        let message = play(&lines).unwrap_err();
+        assert!(message.contains(expected), "{message} against {expected}");
+        assert!(message.starts_with("line "), "{message}");
+    }
+}
+
+fn adapter(input: &[u8]) -> (i32, String, String) {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_lilacpitch-wirehost"))
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    child.stdin.take().unwrap().write_all(input).unwrap();
+    let done = child.wait_with_output().unwrap();
+    let text = |bytes| String::from_utf8(bytes).unwrap();
+    (done.status.code().unwrap_or(-1), text(done.stdout), text(done.stderr))
+}
+
+#[test]
+fn the_adapter_ends_well_or_with_one_plain_line() {
+    assert_eq!(adapter(b""), (0, String::new(), String::new()));
+    assert_eq!(adapter(b"TURN\tnow_ns=1\nYOUR_TURN\n").1, "DONE\n");
+    for bad in [&b"TURN\tnow_ns=x\n"[..], b"TURN\tnow_ns=1\n\xff\xfe\n"] {
+        let (code, _, message) = adapter(bad);
+        assert_eq!(code, 2);
+        assert_eq!(message.lines().count(), 1);
+        assert!(message.contains(": line ") && message.contains("field "), "{message}");
+    }
+}
