--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,8 +1,8 @@
 //! Every decision of the call controller. Its types are in `interface.rs`; it does no input or output.
 //!
 //! The mechanism is Sabourin's call counting (ITC-13). For each core server this front counts the set-ups
-//! meant for it and those sent, over a sliding window, and reads the estimate against a ceiling that 'processor
-//! full' or a time-out set there. Past S1 the cheapest tier is refused, past S2 all non-urgent calls. What is
+//! meant for it and those sent, over a sliding window, and reads the estimate against a ceiling that
+//! 'processor full' or a time-out set there. Past S1 the cheapest tier is refused, past S2 all non-urgent calls. What is
 //! left goes to the first choice, else to the one of two drawn with fewer set-ups unanswered.
 //! Below the mechanism stand its guards; `docs/design.md` says when each of them acts.
 
@@ -270,7 +270,7 @@
         match self.overload_state(server) {
             0 => false,
             1 => cheapest && !urgent,
-            // Calls that were cut come again all at once: even urgent ones wait where they would stand too late.
+            // Calls that were cut come again all at once: urgent ones too wait where they would be late.
             _ => {
                 let wait_ns = server.expected_wait_ns(self.now, self.window_s());
                 !urgent || wait_ns > self.settings.classes[call.class].aim_ns
@@ -616,7 +616,8 @@
     }
 
     /// A just-started server has no ceiling and the fewest unanswered, so it would draw everything: it gets
-    /// what stands of this front's calls at warm servers times what it can do at its age, and a trickle where none is known.
+    /// what stands of this front's calls at warm servers times what it can do at its age, and a trickle
+    /// where none is known.
     fn cold_ceiling(&self, server: &Server) -> Option<f64> {
         let share = self.cold_share(server)?;
         let (mut rate, mut warm) = (0.0, 0.0);
@@ -630,14 +631,14 @@
             }
         }
         let trickle = LEAST_A_WINDOW * 1e9 / WINDOW_NS as f64;
-        // Its own rate before it went down says more than the others', which may be of quite another size. And
-        // what stands there now shows what it can do: it may grow from that, far below what pushes it over.
+        // Its own rate before it went down says more than the others', which may be of quite another size.
+        // What stands there now shows what it can do: it may grow from that, far below what topples it.
         let known = if server.usual_per_s > 0.0 { server.usual_per_s } else { rate / f64::max(warm, 1.0) };
         let proven = server.stood_per_s(self.window_s()) * COLD_GROWTH;
         Some((known * share).max(proven).max(trickle))
     }
 
-    /// A cold server's share is paced, so that calls held here don't fall on it together the moment it is listed.
+    /// A cold server's share is paced, so that calls held here don't fall on it the moment it is listed.
     fn cold_room(&self, server: &Server) -> bool {
         let Some(ceiling) = self.cold_ceiling(server) else { return true };
         self.now.saturating_sub(server.sent_ns) as f64 >= 1e9 / ceiling
