--- a/src/brain.rs
+++ b/src/brain.rs
@@ -2,8 +2,8 @@
 //!
 //! The mechanism is Sabourin's call counting (ITC-13). For each core server this front counts the set-ups
 //! meant for it and those sent, over a sliding window, and reads the estimate against a ceiling that
-//! 'processor full' or a time-out set there. Past S1 the cheapest tier is refused, past S2 all non-urgent calls. What is
-//! left goes to the first choice, else to the one of two drawn with fewer set-ups unanswered.
+//! 'processor full' or a time-out set there. Past S1 the cheapest tier is refused, past S2 all non-urgent
+//! calls. What is left goes to the first choice, else to the one of two drawn with fewer set-ups unanswered.
 //! Below the mechanism stand its guards; `docs/design.md` says when each of them acts.
 
 use crate::interface::*;
@@ -31,8 +31,8 @@
 const WAIT_GAPS_2: f64 = 2.0;
 /// One symptom cuts a ceiling to no less than this share of it: a count over few calls may be low by chance.
 const LEAST_CUT: f64 = 0.8;
-/// A cold server may get so many times what stood there of late.
-const COLD_GROWTH: f64 = 1.5;
+/// A cold server may get what stood there of late times this share of the multiple that pushes it over.
+const GROWTH_OF_TIP: f64 = 0.7;
 /// What this front's usual rate at a server keeps of itself each period: it is halved in 7 s.
 const USUAL_KEPT: f64 = 0.99;
 /// Where nothing is ever resent, this share of the shortest aim stands in for the resend gap.
@@ -634,7 +634,8 @@
         // Its own rate before it went down says more than the others', which may be of quite another size.
         // What stands there now shows what it can do: it may grow from that, far below what topples it.
         let known = if server.usual_per_s > 0.0 { server.usual_per_s } else { rate / f64::max(warm, 1.0) };
-        let proven = server.stood_per_s(self.window_s()) * COLD_GROWTH;
+        let proven =
+            server.stood_per_s(self.window_s()) * (self.settings.tip_multiple * GROWTH_OF_TIP).max(1.0);
         Some((known * share).max(proven).max(trickle))
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -71,8 +71,8 @@
     pub cold_from: f64,
     /// and is warm after this span.
     pub cold_ns: Nanos,
-    /// A cold server falls over when pressed for this span.
-    pub fall_ns: Nanos,
+    /// A cold server falls over when sent so many times what it can do at its age.
+    pub tip_multiple: f64,
     /// Shortest span between two rounds of events.
     pub tick_ns: Nanos,
 }
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -224,7 +224,7 @@
         list_on_request: word(at("discovery")) == "on_request",
         cold_from: number("rules.cold_from", 1.0)?.clamp(0.0, 1.0),
         cold_ns: span("rules.cold_ns", 0.0)?,
-        fall_ns: span("rules.fall_ns", 0.0)?,
+        tip_multiple: number("rules.tip_multiple", 1.0)?.max(1.0),
         tick_ns,
     };
     let names = names.into_iter().flatten().map(|v| word(Some(v))).collect();
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -28,7 +28,7 @@
         list_on_request: false,
         cold_from: 0.3,
         cold_ns: 12 * S,
-        fall_ns: S,
+        tip_multiple: 3.0,
         tick_ns: 5 * MS,
     }
 }
