Callers dialling again past their wanted time leave room for fresh calls

The number dialled tells a further try; past its aim it counts what is left of its worth and is held back at half of the wait. Hurts where many callers dial one number: a stranger may be taken for a caller who came before.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -27,6 +27,8 @@
 /// A set-up unanswered for this share of the resend gap is a time-out in the making: it must be seen before
 /// the network sends the set-up again, since repeats are work that feeds the jam.
 const LATE_SHARE: f64 = 0.75;
+/// A call past its wanted time is held back from this share of that wait on, to leave room for fresh ones.
+const LATE_CALL_SHARE: f64 = 0.5;
 /// A set-up expected to wait for so many resend gaps is past state 1.
 const WAIT_GAPS_2: f64 = 2.0;
 /// One symptom cuts a ceiling to no less than this share of it: a count over few calls may be low by chance.
@@ -112,6 +114,7 @@
     call: Call,
     state: State,
     taken_ns: Nanos,
+    first_ns: Nanos,
     deadline_ns: Nanos,
     not_before_ns: Nanos,
     attempts: u32,
@@ -130,7 +133,10 @@
     period: u64,
     servers: BTreeMap<ServerId, Server>,
     calls: BTreeMap<CallId, Row>,
+    /// Numbers dialled that were given no server, and when they were first tried.
+    unserved: BTreeMap<u64, Nanos>,
     top_worth: f64,
+    patience_most_ns: Nanos,
     gap_ns: Nanos,
     wake_ns: Option<Nanos>,
     stall_ns: Nanos,
@@ -151,7 +157,9 @@
             period: 0,
             servers: BTreeMap::new(),
             calls: BTreeMap::new(),
+            unserved: BTreeMap::new(),
             top_worth,
+            patience_most_ns: settings.classes.iter().map(|c| c.deadline_ns).max().unwrap_or(0),
             gap_ns,
             wake_ns: None,
             stall_ns: 0,
@@ -168,7 +176,7 @@
         match event {
             Event::List(news) => self.on_list(news),
             Event::Call(call) => self.on_call(call, actions),
-            Event::CallerGone(id) => self.forget(id),
+            Event::CallerGone(id) => self.on_caller_gone(id),
             Event::Standing { call, attempt } => self.on_standing(call, attempt),
             Event::Settled { call, attempt, server, outcome, closed, report } => {
                 self.on_report(server, report);
@@ -208,6 +216,10 @@
     fn roll_periods(&mut self) {
         let (period, window_s) = (self.now / PERIOD_NS, self.window_s());
         let passed = period - self.period;
+        if passed > 0 {
+            let (now, patience_ns) = (self.now, self.patience_most_ns);
+            self.unserved.retain(|_, first| now - *first < patience_ns);
+        }
         self.period = period;
         for server in self.servers.values_mut() {
             for _ in 0..passed.min(N as u64) {
@@ -244,12 +256,13 @@
     /// The overload state that the wait there calls for by itself. Counts over a window see a jam of one
     /// second late; the age of what is unanswered and the last set-up's delay show it as it grows.
     fn waiting_state(&self, server: &Server) -> u8 {
-        let wait_ns = server.expected_wait_ns(self.now, self.window_s());
-        if wait_ns > share(self.gap_ns, WAIT_GAPS_2) {
-            2
-        } else {
-            u8::from(wait_ns > share(self.gap_ns, LATE_SHARE))
-        }
+        let gaps = self.wait_gaps(server);
+        u8::from(gaps > LATE_SHARE) + u8::from(gaps > WAIT_GAPS_2)
+    }
+
+    /// The wait expected at a server, in resend gaps.
+    fn wait_gaps(&self, server: &Server) -> f64 {
+        server.expected_wait_ns(self.now, self.window_s()) as f64 / self.gap_ns as f64
     }
 
     /// The ceiling in force: the one that a symptom set, or that of a cold server where it is lower.
@@ -261,12 +274,16 @@
     }
 
     /// Tier refusal: whether this server holds this call back at present.
-    fn holds_back(&self, server: &Server, call: &Call) -> bool {
+    fn holds_back(&self, server: &Server, row: &Row) -> bool {
+        let call = &row.call;
         if self.now < server.told_wait_until_ns || !self.may_try_suspect(server) || !self.cold_room(server) {
             return true;
         }
         let urgent = call.again || call.in_transit;
-        let cheapest = self.settings.classes[call.class].worth < self.top_worth;
+        let cheapest = self.worth(row) < self.top_worth;
+        if self.is_late(row) && !urgent && self.wait_gaps(server) > LATE_SHARE * LATE_CALL_SHARE {
+            return true;
+        }
         match self.overload_state(server) {
             0 => false,
             1 => cheapest && !urgent,
@@ -284,7 +301,7 @@
         let row = self.calls.get(&id)?;
         let (mut open, mut first) = (Vec::new(), None);
         for server in self.servers.values() {
-            if !self.may_send(row, server) || self.holds_back(server, &row.call) {
+            if !self.may_send(row, server) || self.holds_back(server, row) {
                 continue;
             }
             if server.entry.number == row.call.first_choice {
@@ -364,6 +381,7 @@
             call,
             state: State::Held,
             taken_ns: self.now,
+            first_ns: self.first_try_ns(&call),
             deadline_ns: self.now + self.safe_budget_ns(call.budget_ns),
             not_before_ns: self.now,
             attempts: 0,
@@ -378,6 +396,13 @@
         self.place(call.id, actions);
     }
 
+    fn on_caller_gone(&mut self, id: CallId) {
+        if let Some(row) = self.calls.get(&id).filter(|row| row.state != State::Standing) {
+            self.unserved.extend(row.call.dialled.map(|number| (number, row.first_ns)));
+        }
+        self.forget(id);
+    }
+
     fn on_standing(&mut self, id: CallId, attempt: u32) {
         let Some(row) = self.calls.get_mut(&id) else { return };
         if row.state != State::Out || attempt + 1 != row.attempts {
@@ -503,6 +528,25 @@
                 || (unsafe_again && row.may_have_run.is_some()))
     }
 
+    /// Whether a call's wanted time has passed, counted from its caller's first try. In a jam half of the calls
+    /// are callers dialling again; served late they are worth little and take the place of fresh ones.
+    fn is_late(&self, row: &Row) -> bool {
+        self.now.saturating_sub(row.first_ns) > self.settings.classes[row.call.class].aim_ns
+    }
+
+    /// What a call would still be worth.
+    fn worth(&self, row: &Row) -> f64 {
+        let class = &self.settings.classes[row.call.class];
+        class.worth * if self.is_late(row) { class.late_worth } else { 1.0 }
+    }
+
+    /// When the caller of this call first tried: a number that was given up on lately comes again.
+    fn first_try_ns(&mut self, call: &Call) -> Nanos {
+        let patience_ns = self.settings.classes[call.class].deadline_ns;
+        let first_ns = call.dialled.and_then(|number| self.unserved.remove(&number));
+        first_ns.filter(|first| self.now - first < patience_ns).unwrap_or(self.now)
+    }
+
     /// Until when a call that finds no server may be held here.
     fn patience_ns(&self, row: &Row) -> Nanos {
         let aim_ns = self.settings.classes[row.call.class].aim_ns;
@@ -539,6 +583,7 @@
     /// The final answer, at once. Refused where the rules allow it, else failed.
     fn give_up(&mut self, id: CallId, actions: &mut Vec<Action>) {
         let Some(row) = self.calls.remove(&id) else { return };
+        self.unserved.extend(row.call.dialled.map(|number| (number, row.first_ns)));
         let refusable = match self.settings.classes[row.call.class].repeat {
             Repeat::Safe | Repeat::Keyed(Scope::All) => true,
             Repeat::Keyed(_) | Repeat::Unsafe => row.may_have_run.is_none(),
@@ -702,7 +747,7 @@
         let mut waiting: Vec<(i64, Nanos, CallId)> = Vec::new();
         for (id, row) in &self.calls {
             if matches!(row.state, State::Held | State::Releasing) {
-                let worth = self.settings.classes[row.call.class].worth;
+                let worth = self.worth(row);
                 waiting.push((-(worth * 1000.0) as i64, row.taken_ns, *id));
             }
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -36,8 +36,12 @@
 pub struct Class {
     /// Wanted set-up time.
     pub aim_ns: Nanos,
+    /// How long a caller goes on trying, from the first try.
+    pub deadline_ns: Nanos,
     /// What a call that stands in time is worth.
     pub worth: f64,
+    /// The share of it that is left when it stands later.
+    pub late_worth: f64,
     /// Effect of repeated set-ups.
     pub repeat: Repeat,
     /// How long a keyed call's repeats are recognised.
@@ -140,6 +144,8 @@
     pub first_choice: u32,
     /// How long its caller waits.
     pub budget_ns: Nanos,
+    /// The number dialled, where it is known: a caller's further try dials the same.
+    pub dialled: Option<u64>,
     /// Circuits it takes.
     pub width: f64,
     /// Cut before, and coming again.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -191,7 +191,9 @@
         }
         classes.push(Class {
             aim_ns,
+            deadline_ns: figure("deadline_ns", aim_ns as f64) as Nanos,
             worth: figure("worth", 1.0),
+            late_worth: figure("late_worth", 0.0),
             repeat: match word(class.get("repeat")).as_str() {
                 "idempotency_key" => Repeat::Keyed(scope),
                 "non_idempotent" => Repeat::Unsafe,
@@ -399,6 +401,7 @@
                     class,
                     first_choice: fields.number_or("terminates_at", -1.0)? as i64 as u32,
                     budget_ns: fields.span("budget_ns")?,
+                    dialled: fields.get("item").map(|_| fields.uint("item")).transpose()?,
                     width: fields.number_or("units", 1.0)?,
                     again: fields.flag("again")?,
                     in_transit: fields.flag("midflow")?,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -11,7 +11,9 @@
 pub fn settings() -> Settings {
     let class = |worth: f64| Class {
         aim_ns: 1_600 * MS,
+        deadline_ns: 8 * S,
         worth,
+        late_worth: 0.2,
         repeat: Repeat::Safe,
         memory_ns: 5 * S,
         pools: Vec::new(),
@@ -90,6 +92,7 @@
             class: 0,
             first_choice: 1,
             budget_ns: 3 * S,
+            dialled: None,
             width: 1.0,
             again: false,
             in_transit: false,
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -305,3 +305,27 @@
     front.now += 51 * S;
     assert!(quiet(front.stands(id, 0)), "the call itself was kept");
 }
+
+#[test]
+fn a_caller_who_dials_again_past_the_wanted_time_leaves_room_for_fresh_calls() {
+    // Busy days: half of the calls in a jam were callers dialling again, served late in place of fresh ones.
+    let mut front = Front::new(settings(), &[]);
+    let (first, _) = front.call_with(|c| c.dialled = Some(77));
+    let done = front.pass(S);
+    assert!(answered(&done, first), "no server: refused");
+    front.event(Event::List(News::Full(vec![entry(11, 1)])));
+    front.steady(200 * MS, 4 * S);
+    // One set-up out: a wait between half and all of what holds the cheapest tier back.
+    let (out, _) = front.call(0);
+    let (late, actions) = front.call_with(|c| {
+        c.class = 1;
+        c.dialled = Some(77);
+    });
+    assert_eq!(sent_to(&actions, late), None, "even of the dear class");
+    let (fresh, actions) = front.call_with(|c| c.dialled = Some(78));
+    assert_eq!(sent_to(&actions, fresh), Some(11));
+    front.stands(out, 0);
+    front.stands(fresh, 0);
+    front.pass(300 * MS);
+    assert_eq!(front.attempts(late), 1, "sent once there is room");
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -229,6 +229,7 @@
                     class,
                     first_choice: number,
                     budget_ns: budget_ms * MS,
+                    dialled: Some(u64::from(number)),
                     width: 1.0,
                     again,
                     in_transit,
