A number whose lines are busy rests but for single live calls

A plain fault of signalling is tried elsewhere at once. Hurts a caller of a number that is free again within its rest: he is told to come back.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -135,6 +135,8 @@
     calls: BTreeMap<CallId, Row>,
     /// Numbers dialled that were given no server, and when they were first tried.
     unserved: BTreeMap<u64, Nanos>,
+    /// Numbers whose lines were all busy: until when they rest, and for how long they did.
+    busy: BTreeMap<u64, (Nanos, Nanos)>,
     top_worth: f64,
     patience_most_ns: Nanos,
     gap_ns: Nanos,
@@ -158,6 +160,7 @@
             servers: BTreeMap::new(),
             calls: BTreeMap::new(),
             unserved: BTreeMap::new(),
+            busy: BTreeMap::new(),
             top_worth,
             patience_most_ns: settings.classes.iter().map(|c| c.deadline_ns).max().unwrap_or(0),
             gap_ns,
@@ -219,6 +222,7 @@
         if passed > 0 {
             let (now, patience_ns) = (self.now, self.patience_most_ns);
             self.unserved.retain(|_, first| now - *first < patience_ns);
+            self.busy.retain(|_, (until_ns, _)| now < *until_ns + WINDOW_NS);
         }
         self.period = period;
         for server in self.servers.values_mut() {
@@ -410,6 +414,9 @@
         }
         row.state = State::Standing;
         let server = row.server;
+        if let Some(number) = row.call.dialled {
+            self.busy.remove(&number);
+        }
         self.answered(server, id, true, true);
     }
 
@@ -422,7 +429,10 @@
         closed: bool,
         actions: &mut Vec<Action>,
     ) {
-        let alive = matches!(outcome, Outcome::Passed | Outcome::Fault | Outcome::ProcessorFull(_));
+        let alive = matches!(
+            outcome,
+            Outcome::Passed | Outcome::Fault | Outcome::LinesBusy | Outcome::ProcessorFull(_)
+        );
         self.answered(server, id, alive, outcome == Outcome::Passed);
         match outcome {
             Outcome::ProcessorFull(wait) => {
@@ -458,11 +468,10 @@
         } else {
             row.state = State::Held;
         }
-        if outcome == Outcome::Fault {
-            self.give_up(id, actions);
-        } else {
-            self.place(id, actions);
+        if outcome == Outcome::LinesBusy {
+            self.number_busy(id);
         }
+        self.place(id, actions);
     }
 
     fn on_report(&mut self, id: ServerId, report: Report) {
@@ -512,7 +521,9 @@
                 row.state = State::Held;
             }
         }
-        if let Some(server) = self.pick(id) {
+        if self.number_rests(id) {
+            self.give_up(id, actions);
+        } else if let Some(server) = self.pick(id) {
             self.send(id, server, actions);
         } else if self.calls.get(&id).is_some_and(|row| self.hopeless(row)) {
             self.give_up(id, actions);
@@ -528,8 +539,8 @@
                 || (unsafe_again && row.may_have_run.is_some()))
     }
 
-    /// Whether a call's wanted time has passed, counted from its caller's first try. In a jam half of the calls
-    /// are callers dialling again; served late they are worth little and take the place of fresh ones.
+    /// Whether a call's wanted time has passed, counted from its caller's first try. In a jam half of the
+    /// calls are callers dialling again; served late they are worth little and displace fresh ones.
     fn is_late(&self, row: &Row) -> bool {
         self.now.saturating_sub(row.first_ns) > self.settings.classes[row.call.class].aim_ns
     }
@@ -562,6 +573,9 @@
         row.state = State::Out;
         row.server = server;
         row.attempts += 1;
+        if let Some((until_ns, rest_ns)) = row.call.dialled.and_then(|n| self.busy.get_mut(&n)) {
+            *until_ns = now + *rest_ns;
+        }
         // Where attempts cannot be called off, only their time-out frees a call from a silent server.
         let timeout_ns = if may_cancel { left } else { left.min(share(gap_ns, SILENT_GAPS)) };
         if let Some(server) = self.servers.get_mut(&server) {
@@ -583,7 +597,9 @@
     /// The final answer, at once. Refused where the rules allow it, else failed.
     fn give_up(&mut self, id: CallId, actions: &mut Vec<Action>) {
         let Some(row) = self.calls.remove(&id) else { return };
-        self.unserved.extend(row.call.dialled.map(|number| (number, row.first_ns)));
+        // Many callers dial a number that is busy: the next one is hardly this one again.
+        let number = row.call.dialled.filter(|number| !self.busy.contains_key(number));
+        self.unserved.extend(number.map(|number| (number, row.first_ns)));
         let refusable = match self.settings.classes[row.call.class].repeat {
             Repeat::Safe | Repeat::Keyed(Scope::All) => true,
             Repeat::Keyed(_) | Repeat::Unsafe => row.may_have_run.is_none(),
@@ -653,6 +669,21 @@
         budget_ns - share(self.stall_ns, STALL_MARGIN).max(2 * self.settings.tick_ns).min(budget_ns / 2)
     }
 
+    /// A number whose lines were all busy goes on drawing callers, and each set-up for it is work for
+    /// nothing: it rests, longer each time, but for single live calls.
+    fn number_busy(&mut self, id: CallId) {
+        let Some(number) = self.calls.get(&id).and_then(|row| row.call.dialled) else { return };
+        let (now, gap_ns) = (self.now, self.gap_ns);
+        let rest_ns = self.busy.get(&number).map_or(gap_ns, |(_, rest_ns)| (2 * rest_ns).min(WINDOW_NS));
+        self.busy.insert(number, (now + rest_ns, rest_ns));
+    }
+
+    fn number_rests(&self, id: CallId) -> bool {
+        let row = self.calls.get(&id).filter(|row| row.state == State::Held);
+        let number = row.and_then(|row| row.call.dialled);
+        number.and_then(|n| self.busy.get(&n)).is_some_and(|(until_ns, _)| self.now < *until_ns)
+    }
+
     /// The share of its capacity that a server surely has at its age; `None` once it is warm.
     fn cold_share(&self, server: &Server) -> Option<f64> {
         let age = self.now.saturating_sub(server.cold_since_ns?);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -159,8 +159,10 @@
 pub enum Outcome {
     /// The call stood and has ended.
     Passed,
-    /// A fault of signalling, or all lines of the number busy.
+    /// A fault of signalling.
     Fault,
+    /// All lines of the number dialled are busy.
+    LinesBusy,
     /// No circuit or agent was free; it never ran.
     NoCircuit,
     /// The processor was full; it never ran. With the wait that the server told, if any.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -140,6 +140,7 @@
     let note = fields.uint_or("note", 0)?;
     Ok(match fields.need("result")? {
         "pass" => Outcome::Passed,
+        "fault" if note & 15 == 4 => Outcome::LinesBusy,
         "fault" => Outcome::Fault,
         "no_room" if note & 15 == 3 => {
             let wait = (note / 16).saturating_mul(1_000_000);
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -329,3 +329,35 @@
     front.pass(300 * MS);
     assert_eq!(front.attempts(late), 1, "sent once there is room");
 }
+
+#[test]
+fn a_busy_number_rests_but_for_single_live_calls() {
+    // Incident i7cd8b0: one number drew a sixth of all calls, and its lines were busy.
+    let mut front = Front::new(settings(), &two());
+    front.steady(200 * MS, 4 * S);
+    let (id, _) = front.call_with(|c| c.dialled = Some(5));
+    let done = front.settled(id, 0, 11, Outcome::LinesBusy);
+    assert!(answered(&done, id) && sent_to(&done, id).is_none());
+    let mut sent = 0;
+    for _ in 0..60 {
+        let (id, actions) = front.call_with(|c| c.dialled = Some(5));
+        if let Some(server) = sent_to(&actions, id) {
+            sent += 1;
+            front.settled(id, 0, server, Outcome::LinesBusy);
+        } else {
+            assert!(answered(&actions, id), "refused at once");
+        }
+        front.pass(50 * MS);
+    }
+    assert!((1..=4).contains(&sent), "{sent} of 60");
+    let (id, actions) = front.call_with(|c| c.dialled = Some(6));
+    assert!(sent_to(&actions, id).is_some(), "other numbers pass");
+}
+
+#[test]
+fn a_fault_of_signalling_is_tried_again_at_once() {
+    let mut front = Front::new(settings(), &two());
+    let (id, _) = front.call(0);
+    let done = front.settled(id, 0, 11, Outcome::Fault);
+    assert!(sent_to(&done, id).is_some());
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -42,6 +42,7 @@
         Just(Outcome::ProcessorFull(None)),
         Just(Outcome::NotSent),
         Just(Outcome::Fault),
+        Just(Outcome::LinesBusy),
     ];
     prop_oneof![
         6 => (0..2usize, 0..5u32, prop_oneof![Just(0u64), 1..50u64, 200..4000u64], any::<bool>(), any::<bool>())
