--- a/src/brain.rs
+++ b/src/brain.rs
@@ -26,7 +26,7 @@
 const CA: f64 = 1.0;
 /// A set-up unanswered for this share of the resend gap is a time-out in the making: it must be seen before
 /// the network sends the set-up again, since repeats are work that feeds the jam.
-const LATE_SHARE: f64 = 0.75;
+const LATE_SHARE: f64 = 1.0;
 /// A call past its wanted time is held back from this share of that wait on, to leave room for fresh ones.
 const LATE_CALL_SHARE: f64 = 0.5;
 /// A set-up expected to wait for so many resend gaps is past state 1.
