--- a/src/brain.rs
+++ b/src/brain.rs
@@ -48,7 +48,7 @@
 /// The lowest ceiling, in set-ups a window: a few must pass, or nothing would ever be learned.
 const LEAST_A_WINDOW: f64 = 2.0;
 /// A call held back everywhere may wait here for this share of its aim; then it is refused.
-const HOLD_OF_AIM: f64 = 0.4;
+const HOLD_OF_AIM: f64 = 0.7;
 /// Kept back of a caller's time, as a multiple of the longest standstill of this front so far.
 const STALL_MARGIN: f64 = 1.25;
 /// A server without any answer for so many resend gaps while set-ups are out is suspected silent.
