--- a/src/brain.rs
+++ b/src/brain.rs
@@ -24,11 +24,11 @@
 const CR: f64 = 0.0;
 /// Cost of an accepted call, in set-ups.
 const CA: f64 = 1.0;
-/// A set-up unanswered for this share of the resend gap is a time-out in the making: it must be seen before
-/// the network sends the set-up again, since repeats are work that feeds the jam.
-const LATE_SHARE: f64 = 1.0;
+/// A set-up unanswered for so many resend gaps is a time-out in the making: from then on the network sends
+/// it again, and repeats are work that feeds the jam. Less left processors idle.
+const LATE_GAPS: f64 = 1.0;
 /// A call past its wanted time is held back from this share of that wait on, to leave room for fresh ones.
-const LATE_CALL_SHARE: f64 = 0.5;
+const LATE_CALL_OF: f64 = 0.5;
 /// A set-up expected to wait for so many resend gaps is past state 1.
 const WAIT_GAPS_2: f64 = 2.0;
 /// One symptom cuts a ceiling to no less than this share of it: a count over few calls may be low by chance.
@@ -48,7 +48,7 @@
 /// The lowest ceiling, in set-ups a window: a few must pass, or nothing would ever be learned.
 const LEAST_A_WINDOW: f64 = 2.0;
 /// A call held back everywhere may wait here for this share of its aim; then it is refused.
-const HOLD_OF_AIM: f64 = 0.7;
+const HOLD_OF_AIM: f64 = 0.4;
 /// Kept back of a caller's time, as a multiple of the longest standstill of this front so far.
 const STALL_MARGIN: f64 = 1.25;
 /// A server without any answer for so many resend gaps while set-ups are out is suspected silent.
@@ -261,7 +261,7 @@
     /// second late; the age of what is unanswered and the last set-up's delay show it as it grows.
     fn waiting_state(&self, server: &Server) -> u8 {
         let gaps = self.wait_gaps(server);
-        u8::from(gaps > LATE_SHARE) + u8::from(gaps > WAIT_GAPS_2)
+        u8::from(gaps > LATE_GAPS) + u8::from(gaps > WAIT_GAPS_2)
     }
 
     /// The wait expected at a server, in resend gaps.
@@ -285,7 +285,7 @@
         }
         let urgent = call.again || call.in_transit;
         let cheapest = self.worth(row) < self.top_worth;
-        if self.is_late(row) && !urgent && self.wait_gaps(server) > LATE_SHARE * LATE_CALL_SHARE {
+        if self.is_late(row) && !urgent && self.wait_gaps(server) > LATE_GAPS * LATE_CALL_OF {
             return true;
         }
         match self.overload_state(server) {
@@ -489,7 +489,7 @@
 
     /// A set-up is no longer unanswered; `alive` says that the server itself answered it.
     fn answered(&mut self, id: ServerId, call: CallId, alive: bool, stands: bool) {
-        let (now, late_ns) = (self.now, share(self.gap_ns, LATE_SHARE));
+        let (now, late_ns) = (self.now, share(self.gap_ns, LATE_GAPS));
         let Some(server) = self.servers.get_mut(&id) else { return };
         let Some(at) = server.out.iter().position(|o| o.call == call) else { return };
         let sent_ns = server.out.remove(at).sent_ns;
@@ -737,7 +737,7 @@
     /// Late set-ups press a server before their time-out; one that answers nothing at all is suspected, and
     /// what waits there is called off while it can still stand elsewhere in time.
     fn look_at_servers(&mut self, actions: &mut Vec<Action>) {
-        let late_ns = share(self.gap_ns, LATE_SHARE);
+        let late_ns = share(self.gap_ns, LATE_GAPS);
         let silent_ns = share(self.gap_ns, SILENT_GAPS);
         let ids: Vec<ServerId> = self.servers.keys().copied().collect();
         for id in ids {
