--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,9 @@
 //!
 //! The mechanism is call counting after Sabourin (ITC-13): see [`brain`], and [`interface`] for the
 //! plain types it is fed with and answers in. [`wire`] is the text framing of the adapter.
+//!
+//! The worked example below is part of the tests.
+#![doc = include_str!("../README.md")]
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
