--- a/src/brain.rs
+++ b/src/brain.rs
@@ -27,6 +27,8 @@
 /// A set-up unanswered for so many resend gaps is a time-out in the making: from then on the network sends
 /// it again, and repeats are work that feeds the jam. Less left processors idle.
 const LATE_GAPS: f64 = 1.0;
+/// A server whose last set-up stood within this share of the resend gap was not about to jam.
+const QUICK_GAPS: f64 = 0.5;
 /// A call past its wanted time is held back from this share of that wait on, to leave room for fresh ones.
 const LATE_CALL_OF: f64 = 0.5;
 /// A set-up expected to wait for so many resend gaps is past state 1.
@@ -260,6 +262,9 @@
     /// The overload state that the wait there calls for by itself. Counts over a window see a jam of one
     /// second late; the age of what is unanswered and the last set-up's delay show it as it grows.
     fn waiting_state(&self, server: &Server) -> u8 {
+        if self.may_scout(server) {
+            return 0;
+        }
         let gaps = self.wait_gaps(server);
         u8::from(gaps > LATE_GAPS) + u8::from(gaps > WAIT_GAPS_2)
     }
@@ -734,6 +739,18 @@
         server.suspect.is_none_or(|s| server.out.is_empty() && self.now >= s.next_trial_ns)
     }
 
+    /// Whether one more set-up may find out about those unanswered. A queue grows step by step; where set-ups
+    /// stood at once until now, one that stays out is lost or the server silent, and holding all others back
+    /// would leave that open. One at a time, a gap apart.
+    fn may_scout(&self, server: &Server) -> bool {
+        let last_ns = server.out.last().map_or(self.now, |o| o.sent_ns);
+        self.was_quick(server) && self.now - last_ns > self.gap_ns
+    }
+
+    fn was_quick(&self, server: &Server) -> bool {
+        server.delay_ns > 0 && server.delay_ns < share(self.gap_ns, QUICK_GAPS)
+    }
+
     /// Late set-ups press a server before their time-out; one that answers nothing at all is suspected, and
     /// what waits there is called off while it can still stand elsewhere in time.
     fn look_at_servers(&mut self, actions: &mut Vec<Action>) {
@@ -746,7 +763,7 @@
             let Some(oldest) = server.oldest_ns() else { continue };
             let late = self.now - oldest > late_ns;
             let silent = self.now - oldest.max(server.heard_ns) > silent_ns;
-            if late {
+            if late && !self.was_quick(&self.servers[&id]) {
                 self.press(id);
             }
             if silent {
