--- a/src/brain.rs
+++ b/src/brain.rs
@@ -763,7 +763,7 @@
             let Some(oldest) = server.oldest_ns() else { continue };
             let late = self.now - oldest > late_ns;
             let silent = self.now - oldest.max(server.heard_ns) > silent_ns;
-            if late && !self.was_quick(&self.servers[&id]) {
+            if late {
                 self.press(id);
             }
             if silent {
