--- a/src/brain.rs
+++ b/src/brain.rs
@@ -28,7 +28,7 @@
 /// it again, and repeats are work that feeds the jam. Less left processors idle.
 const LATE_GAPS: f64 = 1.0;
 /// A server whose last set-up stood within this share of the resend gap was not about to jam.
-const QUICK_GAPS: f64 = 0.5;
+const QUICK_OF: f64 = 0.5;
 /// A call past its wanted time is held back from this share of that wait on, to leave room for fresh ones.
 const LATE_CALL_OF: f64 = 0.5;
 /// A set-up expected to wait for so many resend gaps is past state 1.
@@ -89,6 +89,8 @@
     entry: Entry,
     window: VecDeque<Period>,
     ceiling_per_s: Option<f64>,
+    /// The ceiling before the last symptom.
+    ceiling_before: Option<f64>,
     symptom_ns: Nanos,
     deaf_until_ns: Nanos,
     told_wait_until_ns: Nanos,
@@ -262,9 +264,6 @@
     /// The overload state that the wait there calls for by itself. Counts over a window see a jam of one
     /// second late; the age of what is unanswered and the last set-up's delay show it as it grows.
     fn waiting_state(&self, server: &Server) -> u8 {
-        if self.may_scout(server) {
-            return 0;
-        }
         let gaps = self.wait_gaps(server);
         u8::from(gaps > LATE_GAPS) + u8::from(gaps > WAIT_GAPS_2)
     }
@@ -288,6 +287,9 @@
         if self.now < server.told_wait_until_ns || !self.may_try_suspect(server) || !self.cold_room(server) {
             return true;
         }
+        if self.may_scout(server) {
+            return false;
+        }
         let urgent = call.again || call.in_transit;
         let cheapest = self.worth(row) < self.top_worth;
         if self.is_late(row) && !urgent && self.wait_gaps(server) > LATE_GAPS * LATE_CALL_OF {
@@ -341,6 +343,7 @@
         let sent = server.estimate(window_s, 0.0);
         let stood = server.stood_per_s(window_s);
         let least = server.ceiling_per_s.unwrap_or(sent) * LEAST_CUT;
+        server.ceiling_before = server.ceiling_per_s;
         server.ceiling_per_s = Some(stood.max(least).max(LEAST_A_WINDOW * 1e9 / WINDOW_NS as f64));
     }
 
@@ -504,8 +507,12 @@
         let delay_ns = now.saturating_sub(sent_ns);
         server.heard_ns = now;
         server.delay_ns = delay_ns;
-        for out in server.out.iter_mut().filter(|o| o.sent_ns < sent_ns) {
+        for out in server.out.iter_mut().filter(|o| o.sent_ns < sent_ns && !o.overtaken) {
             out.overtaken = true;
+            // Late for being lost, not for waiting: the ceiling that its lateness set is taken back.
+            if now - out.sent_ns > late_ns && delay_ns < share(late_ns, QUICK_OF) {
+                server.ceiling_per_s = server.ceiling_before;
+            }
         }
         server.now_mut().stood += u32::from(stands);
         if server.suspect.take().is_some_and(|s| s.trials >= COLD_TRIALS) {
@@ -744,11 +751,8 @@
     /// would leave that open. One at a time, a gap apart.
     fn may_scout(&self, server: &Server) -> bool {
         let last_ns = server.out.last().map_or(self.now, |o| o.sent_ns);
-        self.was_quick(server) && self.now - last_ns > self.gap_ns
-    }
-
-    fn was_quick(&self, server: &Server) -> bool {
-        server.delay_ns > 0 && server.delay_ns < share(self.gap_ns, QUICK_GAPS)
+        let quick = server.delay_ns > 0 && server.delay_ns < share(self.gap_ns, QUICK_OF);
+        quick && self.now - last_ns > self.gap_ns
     }
 
     /// Late set-ups press a server before their time-out; one that answers nothing at all is suspected, and
@@ -833,6 +837,7 @@
             entry,
             window: std::iter::repeat_n(Period::default(), N).collect(),
             ceiling_per_s: None,
+            ceiling_before: None,
             symptom_ns: 0,
             deaf_until_ns: 0,
             told_wait_until_ns: 0,
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -361,3 +361,32 @@
     let done = front.settled(id, 0, 11, Outcome::Fault);
     assert!(sent_to(&done, id).is_some());
 }
+
+#[test]
+fn a_quick_server_that_loses_one_set_up_gets_a_scout_and_keeps_no_ceiling() {
+    // Incident ifd31ec: servers that lose a third of their set-ups were left almost unused.
+    let mut front = Front::new(settings(), &[entry(11, 1)]);
+    for _ in 0..12 {
+        let (id, _) = front.call(0);
+        front.pass(40 * MS);
+        front.stands(id, 0);
+        front.pass(460 * MS);
+    }
+    let (lost, _) = front.call(0);
+    front.pass(300 * MS);
+    let (held, actions) = front.call(0);
+    assert_eq!(sent_to(&actions, held), None, "one out already, of two a second that stand");
+    let done = front.pass(250 * MS);
+    assert_eq!(sent_to(&done, held), Some(11), "a gap on, one goes to find out");
+    let done = front.stands(held, 0);
+    assert!(done.contains(&Action::Cancel { call: lost, attempt: 0 }));
+    front.event(Event::CallerGone(lost));
+    // Two a second would be past any ceiling set to what stood of late; several a second pass.
+    for _ in 0..8 {
+        let (id, actions) = front.call(0);
+        assert_eq!(sent_to(&actions, id), Some(11));
+        front.pass(30 * MS);
+        front.stands(id, 0);
+        front.pass(100 * MS);
+    }
+}
