--- a/src/brain.rs
+++ b/src/brain.rs
@@ -656,9 +656,9 @@
         {
             return false;
         }
-        // The own circuits, where they are told and recent.
-        let fresh = self.now - server.report_ns < WINDOW_NS;
-        if fresh && server.report.free.is_some_and(|free| free < row.call.width) {
+        // Own circuits are told whenever they change; lines of a shared pool are not, and figures age.
+        let holds = self.settings.home.is_some() || self.now - server.report_ns < WINDOW_NS;
+        if holds && server.report.free.is_some_and(|free| free < row.call.width) {
             return false;
         }
         match (class.repeat, row.may_have_run) {
