--- a/src/brain.rs
+++ b/src/brain.rs
@@ -101,8 +101,8 @@
     usual_per_s: f64,
     suspect: Option<Suspect>,
     cold_since_ns: Option<Nanos>,
-    report: Report,
-    report_ns: Nanos,
+    free: Option<f64>,
+    free_ns: Nanos,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -484,8 +484,8 @@
 
     fn on_report(&mut self, id: ServerId, report: Report) {
         if let Some(server) = self.servers.get_mut(&id) {
-            server.report = report;
-            server.report_ns = self.now;
+            server.free = report.free;
+            server.free_ns = self.now;
         }
     }
 
@@ -657,8 +657,8 @@
             return false;
         }
         // Own circuits are told whenever they change; lines of a shared pool are not, and figures age.
-        let holds = self.settings.home.is_some() || self.now - server.report_ns < WINDOW_NS;
-        if holds && server.report.free.is_some_and(|free| free < row.call.width) {
+        let holds = self.settings.home.is_some() || self.now - server.free_ns < WINDOW_NS;
+        if holds && server.free.is_some_and(|free| free < row.call.width) {
             return false;
         }
         match (class.repeat, row.may_have_run) {
@@ -848,8 +848,8 @@
             usual_per_s: 0.0,
             suspect: None,
             cold_since_ns,
-            report: Report::default(),
-            report_ns: now,
+            free: None,
+            free_ns: now,
         }
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -55,8 +55,6 @@
 pub struct Settings {
     /// Classes of calls; never empty.
     pub classes: Vec<Class>,
-    /// Fronts that share the servers, this one included.
-    pub fronts: u32,
     /// The number of the exchange this front stands in, where there is one; nothing is sent there.
     pub home: Option<u32>,
     /// Set-ups that wait are sent again by the network after this span; 0: never.
@@ -118,19 +116,11 @@
     Failed,
 }
 
-/// A server's own figures, late and noisy; what it does not tell is `None`.
+/// What a server's figures tell that is used: its processor's own are late and noisy, and left aside.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct Report {
     /// Free circuits or agents towards it.
     pub free: Option<f64>,
-    /// Wait at its processor.
-    pub wait_ns: Option<Nanos>,
-    /// Set-ups waiting at its processor.
-    pub queue: Option<f64>,
-    /// Share of its processor in use.
-    pub util: Option<f64>,
-    /// Set-ups a second that it can take from all fronts.
-    pub can_take_per_s: Option<f64>,
 }
 
 /// A call handed to this front.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -123,13 +123,8 @@
             if value < 0.0 {
                 continue;
             }
-            match name.as_str() {
-                "free" => report.free = Some(value),
-                "latency_ms" => report.wait_ns = Some((value * 1e6) as Nanos),
-                "queue" => report.queue = Some(value),
-                "util" => report.util = Some(value),
-                "can_take" => report.can_take_per_s = Some(value),
-                _ => {}
+            if name == "free" {
+                report.free = Some(value);
             }
         }
         Ok(report)
@@ -217,7 +212,6 @@
     let names = at("report.fields").and_then(Value::as_array);
     let settings = Settings {
         classes,
-        fronts: number("balancers", 1.0)?.max(1.0) as u32,
         home: (home >= 0.0).then_some(home as u32),
         resend_ns: span("family_info.retransmit_ns", 0.0)?,
         release_ns: span("family_info.release_ns", 0.0)?,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -20,7 +20,6 @@
     };
     Settings {
         classes: vec![class(1.0), class(3.0)],
-        fronts: 4,
         home: None,
         resend_ns: 400 * MS,
         release_ns: 250 * MS,
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -396,13 +396,13 @@
     let mut mesh = settings();
     mesh.home = Some(9);
     let mut front = Front::new(mesh, &two());
-    let none = Report { free: Some(0.0), ..Report::default() };
+    let none = Report { free: Some(0.0) };
     front.event(Event::Reported { server: 11, report: none });
     front.pass(30 * S);
     let (id, actions) = front.call(0);
     assert_eq!(sent_to(&actions, id), Some(22));
     front.stands(id, 0);
-    front.event(Event::Reported { server: 11, report: Report { free: Some(2.0), ..none } });
+    front.event(Event::Reported { server: 11, report: Report { free: Some(2.0) } });
     let (id, actions) = front.call(0);
     assert_eq!(sent_to(&actions, id), Some(11));
 }
