--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -406,3 +406,24 @@
     let (id, actions) = front.call(0);
     assert_eq!(sent_to(&actions, id), Some(11));
 }
+
+#[test]
+fn a_flapping_server_is_used_only_while_listed_and_each_time_as_cold() {
+    let mut front = Front::new(settings(), &two());
+    front.steady(100 * MS, 4 * S);
+    for _ in 0..5 {
+        front.event(Event::List(News::Changes(vec![Entry {
+            availability: Availability::Gone,
+            ..entry(11, 1)
+        }])));
+        let from = front.now;
+        front.steady(100 * MS, S);
+        let there = |a: &Action| matches!(a, Action::Send { server: 11, .. });
+        assert!(!front.log.iter().any(|(at, a)| *at > from && there(a)), "nothing new while gone");
+        front.event(Event::List(News::Changes(vec![Entry { up_since_ns: front.now, ..entry(11, 1) }])));
+        let from = front.now;
+        front.steady(100 * MS, S);
+        let sent = front.log.iter().filter(|(at, a)| *at > from && there(a)).count();
+        assert!((1..=6).contains(&sent), "ten a second before; {sent} in its first second");
+    }
+}
