Windows reach back to the last few set-ups; ceiling floor and cold share are shares of the own normal rate

Cause: 200 fronts with under one set-up in two seconds to each server. A 3 s window held one or two of them, and the floor of 2 set-ups a window, done by all fronts, was several times what a cold server can do. A count now reaches back to the last 4 set-ups, at most 30 s; the normal rate is a fading average, its sum over fronts is the server's normal load; the pace at a cold server starts at a drawn phase.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -14,8 +14,13 @@
 /// Period of the counts: the paper's.
 const PERIOD_NS: Nanos = 100_000_000;
 /// Periods in the window: the paper's 3 s. Shorter windows count too few calls at a single front.
-const N: usize = 30;
-const WINDOW_NS: Nanos = PERIOD_NS * N as Nanos;
+const N: u64 = 30;
+const WINDOW_NS: Nanos = PERIOD_NS * N;
+/// Where fewer set-ups than this fell within the window, it reaches back to so many: one call more or less
+/// must not be a whole step of the estimate.
+const FEW: usize = 4;
+/// The longest that the window reaches back, in windows.
+const FAR_BACK: u64 = 10;
 /// First threshold, of the ceiling: the paper's.
 const S1: f64 = 0.8;
 /// Second threshold, of the ceiling: the paper's.
@@ -37,8 +42,8 @@
 const LEAST_CUT: f64 = 0.8;
 /// A cold server may get what stood there of late times this share of the multiple that pushes it over.
 const GROWTH_OF_TIP: f64 = 0.7;
-/// What this front's usual rate at a server keeps of itself each period: it is halved in 7 s.
-const USUAL_KEPT: f64 = 0.99;
+/// What the average behind this front's normal rate at a server keeps each period: it is halved in 14 s.
+const NORMAL_KEPT: f64 = 0.995;
 /// Where nothing is ever resent, this share of the shortest aim stands in for the resend gap.
 const GAP_OF_AIM: f64 = 0.3;
 /// Periods without a symptom before a ceiling starts to lapse.
@@ -47,8 +52,9 @@
 const LAPSE_STEP: f64 = 1.015;
 /// A ceiling this far over the offered rate decides nothing and is lifted.
 const LIFTED: f64 = 2.0;
-/// The lowest ceiling, in set-ups a window: a few must pass, or nothing would ever be learned.
-const LEAST_A_WINDOW: f64 = 2.0;
+/// The lowest ceiling, as a share of this front's normal rate there: a little must pass, or nothing would be
+/// learned. A share, since whatever one front may always do is done by all of them.
+const LEAST_OF_NORMAL: f64 = 0.1;
 /// A call held back everywhere may wait here for this share of its aim; then it is refused.
 const HOLD_OF_AIM: f64 = 0.4;
 /// Kept back of a caller's time, as a multiple of the longest standstill of this front so far.
@@ -60,13 +66,9 @@
 /// Rest between single live calls to a suspect, in resend gaps; it doubles up to the second figure.
 const TRIAL_GAPS: (f64, f64) = (1.0, 4.0);
 
-/// One period's counts for one server.
-#[derive(Clone, Copy, Default)]
-struct Period {
-    offered: u32,
-    sent: u32,
-    stood: u32,
-}
+/// Set-ups of one kind at one server, each by its period: those of the window, or the last FEW of them.
+#[derive(Default)]
+struct Count(VecDeque<u64>);
 
 /// A set-up that has had no answer yet.
 #[derive(Clone, Copy)]
@@ -87,7 +89,11 @@
 
 struct Server {
     entry: Entry,
-    window: VecDeque<Period>,
+    offered: Count,
+    sent: Count,
+    stood: Count,
+    /// What stood and the seconds it took, both fading: this front's normal rate there.
+    normal: (f64, f64),
     ceiling_per_s: Option<f64>,
     /// The ceiling before the last symptom.
     ceiling_before: Option<f64>,
@@ -98,7 +104,6 @@
     delay_ns: Nanos,
     heard_ns: Nanos,
     sent_ns: Nanos,
-    usual_per_s: f64,
     suspect: Option<Suspect>,
     cold_since_ns: Option<Nanos>,
     free: Option<f64>,
@@ -221,7 +226,7 @@
 
     /// Slides every server's window to the present period; periods without events count as empty.
     fn roll_periods(&mut self) {
-        let (period, window_s) = (self.now / PERIOD_NS, self.window_s());
+        let period = self.now / PERIOD_NS;
         let passed = period - self.period;
         if passed > 0 {
             let (now, patience_ns) = (self.now, self.patience_most_ns);
@@ -229,16 +234,18 @@
             self.busy.retain(|_, (until_ns, _)| now < *until_ns + WINDOW_NS);
         }
         self.period = period;
+        let cold_ns = self.settings.cold_ns;
         for server in self.servers.values_mut() {
-            for _ in 0..passed.min(N as u64) {
-                server.window.pop_front();
-                server.window.push_back(Period::default());
-                if server.suspect.is_none() && server.entry.availability == Availability::Ready {
-                    server.usual_per_s = server.stood_per_s(window_s).max(server.usual_per_s * USUAL_KEPT);
-                }
+            for count in [&mut server.offered, &mut server.sent, &mut server.stood] {
+                count.slide(period);
+            }
+            if passed > 0 && server.is_warm(self.now, cold_ns) && server.suspect.is_none() && server.in_service() {
+                let kept = NORMAL_KEPT.powi(passed.min(1000) as i32);
+                let span_s = passed as f64 * PERIOD_NS as f64 / 1e9;
+                server.normal = (server.normal.0 * kept, server.normal.1 * kept + span_s);
             }
-            for _ in 0..passed.min(N as u64 * 4) {
-                server.lapse(self.now);
+            for _ in 0..passed.min(N * 4) {
+                server.lapse(self.now, period);
             }
         }
     }
@@ -253,7 +260,7 @@
     fn overload_state(&self, server: &Server) -> u8 {
         let waiting = self.waiting_state(server);
         let Some(ceiling) = self.ceiling(server) else { return waiting };
-        let estimate = server.estimate(self.window_s(), 1.0);
+        let estimate = self.estimate(server, 1.0);
         match () {
             _ if estimate > S2 * ceiling => 2,
             _ if estimate > S1 * ceiling => 1,
@@ -270,7 +277,19 @@
 
     /// The wait expected at a server, in resend gaps.
     fn wait_gaps(&self, server: &Server) -> f64 {
-        server.expected_wait_ns(self.now, self.window_s()) as f64 / self.gap_ns as f64
+        self.expected_wait_ns(server) as f64 / self.gap_ns as f64
+    }
+
+    /// What a set-up sent now would surely wait: as long as the oldest unanswered has, as long as the server
+    /// takes this front's unanswered at the rate at which they stood of late, or what is left of the last
+    /// delay when the other fronts keep half of the processor busy.
+    fn expected_wait_ns(&self, server: &Server) -> Nanos {
+        let decayed = server.delay_ns.saturating_sub((self.now - server.heard_ns.min(self.now)) / 2);
+        let Some(oldest_ns) = server.oldest_ns() else { return decayed };
+        let waiting = server.out.iter().filter(|o| !o.overtaken).count();
+        let stood_per_s = self.per_s(&server.stood, 0.0);
+        let backlog_s = waiting as f64 / stood_per_s.max(1.0 / self.window_s());
+        decayed.max(self.now.saturating_sub(oldest_ns)).max((backlog_s * 1e9) as Nanos)
     }
 
     /// The ceiling in force: the one that a symptom set, or that of a cold server where it is lower.
@@ -300,7 +319,7 @@
             1 => cheapest && !urgent,
             // Calls that were cut come again all at once: urgent ones too wait where they would be late.
             _ => {
-                let wait_ns = server.expected_wait_ns(self.now, self.window_s());
+                let wait_ns = self.expected_wait_ns(server);
                 !urgent || wait_ns > self.settings.classes[call.class].aim_ns
             }
         }
@@ -332,7 +351,10 @@
     /// 'Processor full', a time-out, or a set-up late enough to become one: the ceiling goes to this front's
     /// recent rate there, that is to what the server answered of what was sent.
     fn press(&mut self, id: ServerId) {
-        let (now, window_s, gap_ns) = (self.now, self.window_s(), self.gap_ns);
+        let (now, gap_ns) = (self.now, self.gap_ns);
+        let Some(server) = self.servers.get(&id) else { return };
+        let (sent, stood) = (self.estimate(server, 0.0), self.per_s(&server.stood, 0.0));
+        let floor = self.normal_per_s(server) * LEAST_OF_NORMAL;
         let Some(server) = self.servers.get_mut(&id) else { return };
         server.symptom_ns = now;
         if now < server.deaf_until_ns {
@@ -340,11 +362,30 @@
         }
         // What was sent before this moment goes on giving symptoms for as long as it waits.
         server.deaf_until_ns = now + 2 * gap_ns.max(server.delay_ns);
-        let sent = server.estimate(window_s, 0.0);
-        let stood = server.stood_per_s(window_s);
         let least = server.ceiling_per_s.unwrap_or(sent) * LEAST_CUT;
         server.ceiling_before = server.ceiling_per_s;
-        server.ceiling_per_s = Some(stood.max(least).max(LEAST_A_WINDOW * 1e9 / WINDOW_NS as f64));
+        server.ceiling_per_s = Some(stood.max(least).max(floor));
+    }
+
+    /// The rate of a count, with `more` set-ups as if they came now.
+    fn per_s(&self, count: &Count, more: f64) -> f64 {
+        count.per_s(self.period, self.window_s(), more)
+    }
+
+    /// Sabourin's estimate, in set-ups a second; `more` set-ups are counted as if already sent.
+    fn estimate(&self, server: &Server, more: f64) -> f64 {
+        self.per_s(&server.offered, 0.0) * CR + self.per_s(&server.sent, more) * (CA - CR)
+    }
+
+    /// This front's normal rate at a server, before whatever goes on there now; its sum over all fronts is the
+    /// server's normal load. Where none is known, what is meant for it by first choice, at most what others get.
+    fn normal_per_s(&self, server: &Server) -> f64 {
+        let rate = |s: &Server| s.normal.0 / s.normal.1.max(1.0);
+        if server.normal.0 > 0.0 {
+            return rate(server);
+        }
+        let others = self.servers.values().map(rate).sum::<f64>() / self.servers.len().max(2) as f64;
+        self.per_s(&server.offered, 0.0).min(others)
     }
 
     // ---- Events ----
@@ -367,6 +408,7 @@
                 entries
             }
         };
+        let mut restarted = Vec::new();
         for entry in entries {
             let cold = (entry.up_since_ns > 0).then_some(entry.up_since_ns);
             match self.servers.get_mut(&entry.server) {
@@ -374,15 +416,23 @@
                 Some(known) if known.entry.up_since_ns == entry.up_since_ns => known.entry = entry,
                 // Unknown, or started again under the same id: nothing learned before holds.
                 Some(known) => {
-                    let out = std::mem::take(&mut known.out);
-                    let usual_per_s = known.usual_per_s;
-                    *known = Server { out, usual_per_s, ..Server::new(entry, cold, self.now) };
+                    let (out, normal) = (std::mem::take(&mut known.out), known.normal);
+                    *known = Server { out, normal, ..Server::new(entry, cold, self.now) };
+                    restarted.push(entry.server);
                 }
                 None => {
                     self.servers.insert(entry.server, Server::new(entry, cold, self.now));
+                    restarted.push(entry.server);
                 }
             }
         }
+        for id in restarted {
+            // A drawn phase: many fronts hear of one start at once.
+            let phase = self.draw(1000) as f64 / 1000.0;
+            let rate = self.servers.get(&id).and_then(|s| self.cold_ceiling(s)).unwrap_or(0.0);
+            let Some(server) = self.servers.get_mut(&id).filter(|_| rate > 0.0) else { continue };
+            server.sent_ns = self.now.saturating_sub((phase * 1e9 / rate) as Nanos);
+        }
     }
 
     fn on_call(&mut self, call: Call, actions: &mut Vec<Action>) {
@@ -403,7 +453,7 @@
         };
         self.calls.insert(call.id, row);
         if let Some(server) = self.servers.values_mut().find(|s| s.entry.number == call.first_choice) {
-            server.now_mut().offered += 1;
+            server.offered.add(self.period);
         }
         self.place(call.id, actions);
     }
@@ -497,8 +547,9 @@
 
     /// A set-up is no longer unanswered; `alive` says that the server itself answered it.
     fn answered(&mut self, id: ServerId, call: CallId, alive: bool, stands: bool) {
-        let (now, late_ns) = (self.now, share(self.gap_ns, LATE_GAPS));
+        let (now, late_ns, cold_ns) = (self.now, share(self.gap_ns, LATE_GAPS), self.settings.cold_ns);
         let Some(server) = self.servers.get_mut(&id) else { return };
+        let warm = server.is_warm(now, cold_ns);
         let Some(at) = server.out.iter().position(|o| o.call == call) else { return };
         let sent_ns = server.out.remove(at).sent_ns;
         if !alive {
@@ -514,7 +565,10 @@
                 server.ceiling_per_s = server.ceiling_before;
             }
         }
-        server.now_mut().stood += u32::from(stands);
+        if stands {
+            server.stood.add(self.period);
+            server.normal.0 += f64::from(u8::from(warm));
+        }
         if server.suspect.take().is_some_and(|s| s.trials >= COLD_TRIALS) {
             // It may have started anew while it was silent: climb again from the cold share.
             server.cold_since_ns = Some(now);
@@ -591,7 +645,7 @@
         // Where attempts cannot be called off, only their time-out frees a call from a silent server.
         let timeout_ns = if may_cancel { left } else { left.min(share(gap_ns, SILENT_GAPS)) };
         if let Some(server) = self.servers.get_mut(&server) {
-            server.now_mut().sent += 1;
+            server.sent.add(self.period);
             server.sent_ns = now;
             if server.out.is_empty() {
                 server.heard_ns = now;
@@ -704,33 +758,19 @@
     }
 
     /// A just-started server has no ceiling and the fewest unanswered, so it would draw everything: it gets
-    /// what stands of this front's calls at warm servers times what it can do at its age, and a trickle
-    /// where none is known.
+    /// this front's normal rate there times what it can do at its age. Where one front alone sees enough of it
+    /// stand, that shows what it can do: it may grow from that, far below what topples it.
     fn cold_ceiling(&self, server: &Server) -> Option<f64> {
-        let share = self.cold_share(server)?;
-        let (mut rate, mut warm) = (0.0, 0.0);
-        for other in self.servers.values() {
-            if other.entry.availability == Availability::Ready
-                && other.suspect.is_none()
-                && self.cold_share(other).is_none()
-            {
-                rate += other.stood_per_s(self.window_s());
-                warm += 1.0;
-            }
-        }
-        let trickle = LEAST_A_WINDOW * 1e9 / WINDOW_NS as f64;
-        // Its own rate before it went down says more than the others', which may be of quite another size.
-        // What stands there now shows what it can do: it may grow from that, far below what topples it.
-        let known = if server.usual_per_s > 0.0 { server.usual_per_s } else { rate / f64::max(warm, 1.0) };
-        let proven =
-            server.stood_per_s(self.window_s()) * (self.settings.tip_multiple * GROWTH_OF_TIP).max(1.0);
-        Some((known * share).max(proven).max(trickle))
+        let known = self.normal_per_s(server) * self.cold_share(server)?;
+        let growth = (self.settings.tip_multiple * GROWTH_OF_TIP).max(1.0);
+        let enough = server.stood.within(self.period, N) >= FEW;
+        Some(if enough { known.max(self.per_s(&server.stood, 0.0) * growth) } else { known })
     }
 
     /// A cold server's share is paced, so that calls held here don't fall on it the moment it is listed.
     fn cold_room(&self, server: &Server) -> bool {
         let Some(ceiling) = self.cold_ceiling(server) else { return true };
-        self.now.saturating_sub(server.sent_ns) as f64 >= 1e9 / ceiling
+        self.now.saturating_sub(server.sent_ns) as f64 * ceiling >= 1e9
     }
 
     /// A silent server also shows few unanswered once its attempts have ended: it gets single live calls.
@@ -835,7 +875,10 @@
     fn new(entry: Entry, cold_since_ns: Option<Nanos>, now: Nanos) -> Self {
         Server {
             entry,
-            window: std::iter::repeat_n(Period::default(), N).collect(),
+            offered: Count::default(),
+            sent: Count::default(),
+            stood: Count::default(),
+            normal: (0.0, 0.0),
             ceiling_per_s: None,
             ceiling_before: None,
             symptom_ns: 0,
@@ -845,7 +888,6 @@
             delay_ns: 0,
             heard_ns: now,
             sent_ns: 0,
-            usual_per_s: 0.0,
             suspect: None,
             cold_since_ns,
             free: None,
@@ -853,31 +895,12 @@
         }
     }
 
-    fn now_mut(&mut self) -> &mut Period {
-        // The window always holds N periods.
-        self.window.back_mut().expect("N is above 0")
+    fn is_warm(&self, now: Nanos, cold_ns: Nanos) -> bool {
+        self.cold_since_ns.is_none_or(|since| now.saturating_sub(since) >= cold_ns)
     }
 
-    /// Sabourin's estimate, in set-ups a second; `more` set-ups are counted as if already sent.
-    fn estimate(&self, window_s: f64, more: f64) -> f64 {
-        let offered: u32 = self.window.iter().map(|p| p.offered).sum();
-        let accepted: u32 = self.window.iter().map(|p| p.sent).sum();
-        (f64::from(offered) * CR + (f64::from(accepted) + more) * (CA - CR)) / window_s
-    }
-
-    fn stood_per_s(&self, window_s: f64) -> f64 {
-        f64::from(self.window.iter().map(|p| p.stood).sum::<u32>()) / window_s
-    }
-
-    /// What a set-up sent now would surely wait: as long as the oldest unanswered has, as long as the server
-    /// takes this front's unanswered at the rate at which they stood of late, or what is left of the last
-    /// delay when the other fronts keep half of the processor busy.
-    fn expected_wait_ns(&self, now: Nanos, window_s: f64) -> Nanos {
-        let decayed = self.delay_ns.saturating_sub(now.saturating_sub(self.heard_ns) / 2);
-        let Some(oldest_ns) = self.oldest_ns() else { return decayed };
-        let waiting = self.out.iter().filter(|o| !o.overtaken).count();
-        let backlog_s = waiting as f64 / self.stood_per_s(window_s).max(1.0 / window_s);
-        decayed.max(now.saturating_sub(oldest_ns)).max((backlog_s * 1e9) as Nanos)
+    fn in_service(&self) -> bool {
+        self.entry.availability == Availability::Ready
     }
 
     /// When the oldest set-up that waits in line there was sent.
@@ -886,17 +909,45 @@
     }
 
     /// A ceiling lapses in steps once no symptom has been seen for a while: all at once, it would swing.
-    fn lapse(&mut self, now: Nanos) {
+    fn lapse(&mut self, now: Nanos, period: u64) {
         let Some(ceiling) = self.ceiling_per_s else { return };
         if now.saturating_sub(self.symptom_ns) < CLEAN_PERIODS * PERIOD_NS {
             return;
         }
-        let offered = self.window.iter().map(|p| p.offered).sum::<u32>() as f64 * 1e9 / WINDOW_NS as f64;
+        let offered = self.offered.within(period, N) as f64 * 1e9 / WINDOW_NS as f64;
         let raised = ceiling * LAPSE_STEP;
         self.ceiling_per_s = Some(raised).filter(|c| *c < LIFTED * offered.max(1.0));
     }
 }
 
+impl Count {
+    fn add(&mut self, period: u64) {
+        self.0.push_back(period);
+    }
+
+    fn slide(&mut self, period: u64) {
+        while let Some(age) = self.0.front().map(|oldest| period - oldest) {
+            if age < N || (self.0.len() <= FEW && age < N * FAR_BACK) {
+                break;
+            }
+            self.0.pop_front();
+        }
+    }
+
+    /// Over the window, or, where that holds few, over the time since the oldest of the last few.
+    fn per_s(&self, period: u64, window_s: f64, more: f64) -> f64 {
+        let counted = self.0.len() as f64 + more;
+        match self.0.front().map(|oldest| period - oldest) {
+            Some(age) if age >= N => (counted - 1.0) * 1e9 / (age * PERIOD_NS) as f64,
+            _ => counted / window_s,
+        }
+    }
+
+    fn within(&self, period: u64, periods: u64) -> usize {
+        self.0.iter().rev().take_while(|at| period - **at < periods).count()
+    }
+}
+
 fn share(span: Nanos, of: f64) -> Nanos {
     (span as f64 * of) as Nanos
 }
