--- a/src/brain.rs
+++ b/src/brain.rs
@@ -63,8 +63,10 @@
 const SILENT_GAPS: f64 = 2.0;
 /// A suspect that let this many live calls pass unanswered may have started anew meanwhile.
 const COLD_TRIALS: u32 = 3;
-/// Rest between single live calls to a suspect, in resend gaps; it doubles up to the second figure.
-const TRIAL_GAPS: (f64, f64) = (1.0, 4.0);
+/// Rest between single live calls to a suspect: at least so many resend gaps and set-ups' normal time there; it
+/// doubles up to so many times the first.
+const TRIAL_GAPS: f64 = 1.0;
+const TRIAL_DOUBLES: u64 = 4;
 
 /// Set-ups of one kind at one server, each by its period: those of the window, or the last FEW of them.
 #[derive(Default)]
@@ -84,6 +86,7 @@
 struct Suspect {
     next_trial_ns: Nanos,
     rest_ns: Nanos,
+    most_ns: Nanos,
     trials: u32,
 }
 
@@ -654,7 +657,7 @@
             if let Some(suspect) = &mut server.suspect {
                 suspect.trials += 1;
                 suspect.next_trial_ns = now + suspect.rest_ns;
-                suspect.rest_ns = (suspect.rest_ns * 2).min(share(gap_ns, TRIAL_GAPS.1));
+                suspect.rest_ns = (suspect.rest_ns * 2).min(suspect.most_ns);
             }
         }
         actions.push(Action::Send { call: id, server, timeout_ns });
@@ -775,11 +778,19 @@
 
     /// A silent server also shows few unanswered once its attempts have ended: it gets single live calls.
     fn suspect(&mut self, id: ServerId) {
-        let rest_ns = share(self.gap_ns, TRIAL_GAPS.0);
-        let now = self.now;
-        if let Some(server) = self.servers.get_mut(&id) {
-            server.suspect.get_or_insert(Suspect { next_trial_ns: now + rest_ns, rest_ns, trials: 0 });
-        }
+        let drawn = 0.5 + self.draw(1000) as f64 / 1000.0;
+        let Some(server) = self.servers.get(&id).filter(|s| s.suspect.is_none()) else { return };
+        let rest_ns = share(self.gap_ns, TRIAL_GAPS).max(share(self.apart_ns(server), drawn));
+        let suspect =
+            Suspect { next_trial_ns: self.now + rest_ns, rest_ns, most_ns: TRIAL_DOUBLES * rest_ns, trials: 0 };
+        self.servers.entry(id).and_modify(|s| s.suspect = Some(suspect));
+    }
+
+    /// How far apart this front's set-ups to a server normally are: what each front does once in that time is no
+    /// more than the server's normal load, however many fronts there are.
+    fn apart_ns(&self, server: &Server) -> Nanos {
+        let rate = self.normal_per_s(server);
+        if rate > 0.0 { ((1e9 / rate) as Nanos).min(WINDOW_NS * FAR_BACK) } else { WINDOW_NS }
     }
 
     fn may_try_suspect(&self, server: &Server) -> bool {
@@ -792,7 +803,7 @@
     fn may_scout(&self, server: &Server) -> bool {
         let last_ns = server.out.last().map_or(self.now, |o| o.sent_ns);
         let quick = server.delay_ns > 0 && server.delay_ns < share(self.gap_ns, QUICK_OF);
-        quick && self.now - last_ns > self.gap_ns
+        quick && self.now - last_ns > self.gap_ns.max(self.apart_ns(server))
     }
 
     /// Late set-ups press a server before their time-out; one that answers nothing at all is suspected, and
