A ceiling lapses by 7 % in the time between two set-ups at most

Cause: 1.5 % a period lifted a ceiling before the next set-up of a front that sends one in three seconds, so jams on which all fronts had cut their rate were refilled without new evidence.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -50,6 +50,8 @@
 const CLEAN_PERIODS: u64 = 10;
 /// A lapsing ceiling rises by this factor a period: 2 % is a fifth in a second, slower than a jam is seen.
 const LAPSE_STEP: f64 = 1.015;
+/// and by no more than this in the time between two set-ups: without new evidence it must not climb.
+const LAPSE_APART: f64 = 0.07;
 /// A ceiling this far over the offered rate decides nothing and is lifted.
 const LIFTED: f64 = 2.0;
 /// The lowest ceiling, as a share of this front's normal rate there: a little must pass, or nothing would be
@@ -242,14 +244,18 @@
             for count in [&mut server.offered, &mut server.sent, &mut server.stood] {
                 count.slide(period);
             }
-            if passed > 0 && server.is_warm(self.now, cold_ns) && server.suspect.is_none() && server.in_service() {
+            if passed > 0
+                && server.is_warm(self.now, cold_ns)
+                && server.suspect.is_none()
+                && server.in_service()
+            {
                 let kept = NORMAL_KEPT.powi(passed.min(1000) as i32);
                 let span_s = passed as f64 * PERIOD_NS as f64 / 1e9;
                 server.normal = (server.normal.0 * kept, server.normal.1 * kept + span_s);
             }
-            for _ in 0..passed.min(N * 4) {
-                server.lapse(self.now, period);
-            }
+        }
+        if passed > 0 {
+            self.lapse(passed.min(N * 4));
         }
     }
 
@@ -370,6 +376,24 @@
         server.ceiling_per_s = Some(stood.max(least).max(floor));
     }
 
+    /// A ceiling lapses in steps once no symptom has been seen for a while: all at once, it would swing.
+    fn lapse(&mut self, periods: u64) {
+        let ids: Vec<ServerId> = self.servers.keys().copied().collect();
+        for id in ids {
+            let server = &self.servers[&id];
+            let Some(ceiling) = server.ceiling_per_s else { continue };
+            if self.now.saturating_sub(server.symptom_ns) < CLEAN_PERIODS * PERIOD_NS {
+                continue;
+            }
+            let apart = self.apart_ns(server) as f64 / PERIOD_NS as f64;
+            let step = LAPSE_STEP.min(1.0 + LAPSE_APART / apart);
+            let raised = ceiling * step.powi(periods as i32);
+            let offered = self.per_s(&server.offered, 0.0).max(self.normal_per_s(server));
+            let lapsed = Some(raised).filter(|c| *c < LIFTED * offered);
+            self.servers.entry(id).and_modify(|s| s.ceiling_per_s = lapsed);
+        }
+    }
+
     /// The rate of a count, with `more` set-ups as if they came now.
     fn per_s(&self, count: &Count, more: f64) -> f64 {
         count.per_s(self.period, self.window_s(), more)
@@ -781,8 +805,12 @@
         let drawn = 0.5 + self.draw(1000) as f64 / 1000.0;
         let Some(server) = self.servers.get(&id).filter(|s| s.suspect.is_none()) else { return };
         let rest_ns = share(self.gap_ns, TRIAL_GAPS).max(share(self.apart_ns(server), drawn));
-        let suspect =
-            Suspect { next_trial_ns: self.now + rest_ns, rest_ns, most_ns: TRIAL_DOUBLES * rest_ns, trials: 0 };
+        let suspect = Suspect {
+            next_trial_ns: self.now + rest_ns,
+            rest_ns,
+            most_ns: TRIAL_DOUBLES * rest_ns,
+            trials: 0,
+        };
         self.servers.entry(id).and_modify(|s| s.suspect = Some(suspect));
     }
 
@@ -790,7 +818,11 @@
     /// more than the server's normal load, however many fronts there are.
     fn apart_ns(&self, server: &Server) -> Nanos {
         let rate = self.normal_per_s(server);
-        if rate > 0.0 { ((1e9 / rate) as Nanos).min(WINDOW_NS * FAR_BACK) } else { WINDOW_NS }
+        if rate > 0.0 {
+            ((1e9 / rate) as Nanos).min(WINDOW_NS * FAR_BACK)
+        } else {
+            WINDOW_NS
+        }
     }
 
     fn may_try_suspect(&self, server: &Server) -> bool {
@@ -918,17 +950,6 @@
     fn oldest_ns(&self) -> Option<Nanos> {
         self.out.iter().find(|o| !o.overtaken).map(|o| o.sent_ns)
     }
-
-    /// A ceiling lapses in steps once no symptom has been seen for a while: all at once, it would swing.
-    fn lapse(&mut self, now: Nanos, period: u64) {
-        let Some(ceiling) = self.ceiling_per_s else { return };
-        if now.saturating_sub(self.symptom_ns) < CLEAN_PERIODS * PERIOD_NS {
-            return;
-        }
-        let offered = self.offered.within(period, N) as f64 * 1e9 / WINDOW_NS as f64;
-        let raised = ceiling * LAPSE_STEP;
-        self.ceiling_per_s = Some(raised).filter(|c| *c < LIFTED * offered.max(1.0));
-    }
 }
 
 impl Count {
