--- a/src/brain.rs
+++ b/src/brain.rs
@@ -68,7 +68,7 @@
 /// Rest between single live calls to a suspect: at least so many resend gaps and set-ups' normal time there; it
 /// doubles up to so many times the first.
 const TRIAL_GAPS: f64 = 1.0;
-const TRIAL_DOUBLES: u64 = 4;
+const TRIAL_DOUBLES: u64 = 16;
 
 /// Set-ups of one kind at one server, each by its period: those of the window, or the last FEW of them.
 #[derive(Default)]
