--- a/src/brain.rs
+++ b/src/brain.rs
@@ -40,6 +40,8 @@
 const WAIT_GAPS_2: f64 = 2.0;
 /// One symptom cuts a ceiling to no less than this share of it: a count over few calls may be low by chance.
 const LEAST_CUT: f64 = 0.8;
+/// The same where the wait is far past any use: the processor full, or nothing answered for SILENT_GAPS.
+const HARD_CUT: f64 = 0.5;
 /// A cold server may get what stood there of late times this share of the multiple that pushes it over.
 const GROWTH_OF_TIP: f64 = 0.7;
 /// What the average behind this front's normal rate at a server keeps each period: it is halved in 14 s.
@@ -359,7 +361,7 @@
 
     /// 'Processor full', a time-out, or a set-up late enough to become one: the ceiling goes to this front's
     /// recent rate there, that is to what the server answered of what was sent.
-    fn press(&mut self, id: ServerId) {
+    fn press(&mut self, id: ServerId, cut: f64) {
         let (now, gap_ns) = (self.now, self.gap_ns);
         let Some(server) = self.servers.get(&id) else { return };
         let (sent, stood) = (self.estimate(server, 0.0), self.per_s(&server.stood, 0.0));
@@ -371,7 +373,7 @@
         }
         // What was sent before this moment goes on giving symptoms for as long as it waits.
         server.deaf_until_ns = now + 2 * gap_ns.max(server.delay_ns);
-        let least = server.ceiling_per_s.unwrap_or(sent) * LEAST_CUT;
+        let least = server.ceiling_per_s.unwrap_or(sent) * cut;
         server.ceiling_before = server.ceiling_per_s;
         server.ceiling_per_s = Some(stood.max(least).max(floor));
     }
@@ -521,16 +523,16 @@
         self.answered(server, id, alive, outcome == Outcome::Passed);
         match outcome {
             Outcome::ProcessorFull(wait) => {
-                self.press(server);
+                self.press(server, HARD_CUT);
                 self.hold_off(server, wait.unwrap_or(self.gap_ns).min(WINDOW_NS));
             }
             // No line free is a ceiling just as well: what stands there is the rate at which lines come free.
             Outcome::NoCircuit => {
-                self.press(server);
+                self.press(server, LEAST_CUT);
                 let wait = share(self.gap_ns, 0.5 + self.draw(1000) as f64 / 1000.0);
                 self.hold_off(server, wait);
             }
-            Outcome::TimedOut => self.press(server),
+            Outcome::TimedOut => self.press(server, HARD_CUT),
             Outcome::NoRoute => self.suspect(server),
             _ => {}
         }
@@ -601,7 +603,7 @@
             server.cold_since_ns = Some(now);
         }
         if delay_ns > late_ns {
-            self.press(id);
+            self.press(id, LEAST_CUT);
         }
     }
 
@@ -851,9 +853,10 @@
             let late = self.now - oldest > late_ns;
             let silent = self.now - oldest.max(server.heard_ns) > silent_ns;
             if late {
-                self.press(id);
+                self.press(id, LEAST_CUT);
             }
             if silent {
+                self.press(id, HARD_CUT);
                 self.suspect(id);
                 self.call_off(id, |_, age_ns| age_ns > silent_ns, actions);
             }
