A harder symptom acts within the deaf span of a weaker one

Cause: the lateness of a set-up came first, and 'full' or silence of the same set-up fell on deaf ears, so that ceilings fell by a fifth where nothing stood at all.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -106,6 +106,7 @@
     ceiling_before: Option<f64>,
     symptom_ns: Nanos,
     deaf_until_ns: Nanos,
+    cut: f64,
     told_wait_until_ns: Nanos,
     out: Vec<Unanswered>,
     delay_ns: Nanos,
@@ -368,13 +369,17 @@
         let floor = self.normal_per_s(server) * LEAST_OF_NORMAL;
         let Some(server) = self.servers.get_mut(&id) else { return };
         server.symptom_ns = now;
-        if now < server.deaf_until_ns {
+        let deaf = now < server.deaf_until_ns;
+        if deaf && cut >= server.cut {
             return;
         }
+        server.cut = cut;
         // What was sent before this moment goes on giving symptoms for as long as it waits.
         server.deaf_until_ns = now + 2 * gap_ns.max(server.delay_ns);
-        let least = server.ceiling_per_s.unwrap_or(sent) * cut;
-        server.ceiling_before = server.ceiling_per_s;
+        if !deaf {
+            server.ceiling_before = server.ceiling_per_s;
+        }
+        let least = server.ceiling_before.unwrap_or(sent) * cut;
         server.ceiling_per_s = Some(stood.max(least).max(floor));
     }
 
@@ -929,6 +934,7 @@
             ceiling_before: None,
             symptom_ns: 0,
             deaf_until_ns: 0,
+            cut: 1.0,
             told_wait_until_ns: 0,
             out: Vec::new(),
             delay_ns: 0,
