--- a/src/brain.rs
+++ b/src/brain.rs
@@ -521,15 +521,16 @@
         closed: bool,
         actions: &mut Vec<Action>,
     ) {
-        let alive = matches!(
-            outcome,
-            Outcome::Passed | Outcome::Fault | Outcome::LinesBusy | Outcome::ProcessorFull(_)
-        );
+        // A set-up turned away did not wait in line: it tells nothing of those that do, but the wait itself.
+        let alive = matches!(outcome, Outcome::Passed | Outcome::Fault | Outcome::LinesBusy);
         self.answered(server, id, alive, outcome == Outcome::Passed);
         match outcome {
             Outcome::ProcessorFull(wait) => {
                 self.press(server, HARD_CUT);
-                self.hold_off(server, wait.unwrap_or(self.gap_ns).min(WINDOW_NS));
+                let wait_ns = wait.unwrap_or(self.gap_ns).min(WINDOW_NS);
+                self.hold_off(server, wait_ns);
+                let now = self.now;
+                self.servers.entry(server).and_modify(|s| (s.heard_ns, s.delay_ns) = (now, wait_ns));
             }
             // No line free is a ceiling just as well: what stands there is the rate at which lines come free.
             Outcome::NoCircuit => {
