--- a/src/brain.rs
+++ b/src/brain.rs
@@ -338,26 +338,35 @@
     }
 
     /// The pool pick among the servers that the rules and the tiers leave: the first choice, else the one of
-    /// two drawn with fewer of this front's set-ups unanswered.
+    /// two drawn with fewer of this front's set-ups unanswered. Drawn by the normal rates, or small servers
+    /// would get as much of all fronts' second choices as large ones.
     fn pick(&mut self, id: CallId) -> Option<ServerId> {
         let row = self.calls.get(&id)?;
-        let (mut open, mut first) = (Vec::new(), None);
+        let mut open = Vec::new();
         for server in self.servers.values() {
             if !self.may_send(row, server) || self.holds_back(server, row) {
                 continue;
             }
             if server.entry.number == row.call.first_choice {
-                first = Some(server.entry.server);
+                return Some(server.entry.server);
             }
-            open.push((server.out.len(), server.entry.server));
-        }
-        if first.is_some() || open.len() < 2 {
-            return first.or(open.first().map(|(_, server)| *server));
-        }
-        let one = self.draw(open.len());
-        let other = (one + 1 + self.draw(open.len() - 1)) % open.len();
-        let better = if open[other].0 < open[one].0 { other } else { one };
-        Some(open[better].1)
+            let weight = (self.normal_per_s(server) * 1000.0) as usize + 1;
+            open.push((server.out.len(), weight, server.entry.server));
+        }
+        let mut total: usize = open.iter().map(|(_, weight, _)| weight).sum();
+        let mut drawn = Vec::new();
+        while drawn.len() < 2 && !open.is_empty() {
+            let mut at = self.draw(total);
+            let place = open.iter().position(|(_, weight, _)| {
+                let here = at < *weight;
+                at = at.saturating_sub(*weight);
+                here
+            })?;
+            let one = open.remove(place);
+            total -= one.1;
+            drawn.push(one);
+        }
+        drawn.iter().min_by_key(|(out, _, _)| *out).map(|(_, _, server)| *server)
     }
 
     /// 'Processor full', a time-out, or a set-up late enough to become one: the ceiling goes to this front's
