--- a/src/brain.rs
+++ b/src/brain.rs
@@ -338,35 +338,25 @@
     }
 
     /// The pool pick among the servers that the rules and the tiers leave: the first choice, else the one of
-    /// two drawn with fewer of this front's set-ups unanswered. Drawn by the normal rates, or small servers
-    /// would get as much of all fronts' second choices as large ones.
+    /// two drawn with fewer of this front's set-ups unanswered.
     fn pick(&mut self, id: CallId) -> Option<ServerId> {
         let row = self.calls.get(&id)?;
-        let mut open = Vec::new();
+        let (mut open, mut first) = (Vec::new(), None);
         for server in self.servers.values() {
             if !self.may_send(row, server) || self.holds_back(server, row) {
                 continue;
             }
             if server.entry.number == row.call.first_choice {
-                return Some(server.entry.server);
+                first = Some(server.entry.server);
             }
-            let weight = (self.normal_per_s(server) * 1000.0) as usize + 1;
-            open.push((server.out.len(), weight, server.entry.server));
-        }
-        let mut total: usize = open.iter().map(|(_, weight, _)| weight).sum();
-        let mut drawn = Vec::new();
-        while drawn.len() < 2 && !open.is_empty() {
-            let mut at = self.draw(total);
-            let place = open.iter().position(|(_, weight, _)| {
-                let here = at < *weight;
-                at = at.saturating_sub(*weight);
-                here
-            })?;
-            let one = open.remove(place);
-            total -= one.1;
-            drawn.push(one);
-        }
-        drawn.iter().min_by_key(|(out, _, _)| *out).map(|(_, _, server)| *server)
+            open.push((server.out.len(), self.expected_wait_ns(server), server.entry.server));
+        }
+        if first.is_some() || open.len() < 2 {
+            return first.or(open.first().map(|(_, _, server)| *server));
+        }
+        let one = self.draw(open.len());
+        let other = (one + 1 + self.draw(open.len() - 1)) % open.len();
+        Some(open[one].min(open[other]).2)
     }
 
     /// 'Processor full', a time-out, or a set-up late enough to become one: the ceiling goes to this front's
