--- a/src/brain.rs
+++ b/src/brain.rs
@@ -19,8 +19,10 @@
 /// Where fewer set-ups than this fell within the window, it reaches back to so many: one call more or less
 /// must not be a whole step of the estimate.
 const FEW: usize = 4;
-/// The longest that the window reaches back, in windows.
+/// A ceiling that saw no symptom for so many windows is lifted; no rest between trials is longer.
 const FAR_BACK: u64 = 10;
+/// Where nothing stood yet, the normal rate is taken as so many set-ups in the time seen: less than one.
+const NONE_YET: f64 = 0.5;
 /// First threshold, of the ceiling: the paper's.
 const S1: f64 = 0.8;
 /// Second threshold, of the ceiling: the paper's.
@@ -54,7 +56,8 @@
 const LAPSE_STEP: f64 = 1.015;
 /// and by no more than this in the time between two set-ups: without new evidence it must not climb.
 const LAPSE_APART: f64 = 0.07;
-/// A ceiling this far over the offered rate decides nothing and is lifted.
+/// A ceiling does not rise further over the offered and the normal rate than this: second choices of all
+/// fronts would fall on whatever is open.
 const LIFTED: f64 = 2.0;
 /// The lowest ceiling, as a share of this front's normal rate there: a little must pass, or nothing would be
 /// learned. A share, since whatever one front may always do is done by all of them.
@@ -395,7 +398,8 @@
             let step = LAPSE_STEP.min(1.0 + LAPSE_APART / apart);
             let raised = ceiling * step.powi(periods as i32);
             let offered = self.per_s(&server.offered, 0.0).max(self.normal_per_s(server));
-            let lapsed = Some(raised).filter(|c| *c < LIFTED * offered);
+            let lapsed = Some(raised.min(ceiling.max(LIFTED * offered)))
+                .filter(|_| self.now - server.symptom_ns < WINDOW_NS * FAR_BACK);
             self.servers.entry(id).and_modify(|s| s.ceiling_per_s = lapsed);
         }
     }
@@ -414,8 +418,8 @@
     /// server's normal load. Where none is known, what is meant for it by first choice, at most what others get.
     fn normal_per_s(&self, server: &Server) -> f64 {
         let rate = |s: &Server| s.normal.0 / s.normal.1.max(1.0);
-        if server.normal.0 > 0.0 {
-            return rate(server);
+        if server.normal.1 > 0.0 {
+            return rate(server).max(NONE_YET / server.normal.1.max(1.0));
         }
         let others = self.servers.values().map(rate).sum::<f64>() / self.servers.len().max(2) as f64;
         self.per_s(&server.offered, 0.0).min(others)
@@ -968,7 +972,7 @@
 
     fn slide(&mut self, period: u64) {
         while let Some(age) = self.0.front().map(|oldest| period - oldest) {
-            if age < N || (self.0.len() <= FEW && age < N * FAR_BACK) {
+            if age < N || self.0.len() <= FEW {
                 break;
             }
             self.0.pop_front();
