--- a/src/brain.rs
+++ b/src/brain.rs
@@ -368,7 +368,7 @@
         let (now, gap_ns) = (self.now, self.gap_ns);
         let Some(server) = self.servers.get(&id) else { return };
         let (sent, stood) = (self.estimate(server, 0.0), self.per_s(&server.stood, 0.0));
-        let floor = self.normal_per_s(server) * LEAST_OF_NORMAL;
+        let normal = self.normal_per_s(server);
         let Some(server) = self.servers.get_mut(&id) else { return };
         server.symptom_ns = now;
         let deaf = now < server.deaf_until_ns;
@@ -381,8 +381,8 @@
         if !deaf {
             server.ceiling_before = server.ceiling_per_s;
         }
-        let least = server.ceiling_before.unwrap_or(sent) * cut;
-        server.ceiling_per_s = Some(stood.max(least).max(floor));
+        let least = server.ceiling_before.unwrap_or(sent).min(sent.max(normal)) * cut;
+        server.ceiling_per_s = Some(stood.max(least).max(normal * LEAST_OF_NORMAL));
     }
 
     /// A ceiling lapses in steps once no symptom has been seen for a while: all at once, it would swing.
