--- a/src/brain.rs
+++ b/src/brain.rs
@@ -368,7 +368,7 @@
         let (now, gap_ns) = (self.now, self.gap_ns);
         let Some(server) = self.servers.get(&id) else { return };
         let (sent, stood) = (self.estimate(server, 0.0), self.per_s(&server.stood, 0.0));
-        let normal = self.normal_per_s(server);
+        let floor = self.normal_per_s(server) * LEAST_OF_NORMAL;
         let Some(server) = self.servers.get_mut(&id) else { return };
         server.symptom_ns = now;
         let deaf = now < server.deaf_until_ns;
@@ -381,8 +381,8 @@
         if !deaf {
             server.ceiling_before = server.ceiling_per_s;
         }
-        let least = server.ceiling_before.unwrap_or(sent).min(sent.max(normal)) * cut;
-        server.ceiling_per_s = Some(stood.max(least).max(normal * LEAST_OF_NORMAL));
+        let least = server.ceiling_before.unwrap_or(sent) * cut;
+        server.ceiling_per_s = Some(stood.max(least).max(floor));
     }
 
     /// A ceiling lapses in steps once no symptom has been seen for a while: all at once, it would swing.
@@ -398,8 +398,10 @@
             let step = LAPSE_STEP.min(1.0 + LAPSE_APART / apart);
             let raised = ceiling * step.powi(periods as i32);
             let offered = self.per_s(&server.offered, 0.0).max(self.normal_per_s(server));
-            let lapsed = Some(raised.min(ceiling.max(LIFTED * offered)))
-                .filter(|_| self.now - server.symptom_ns < WINDOW_NS * FAR_BACK);
+            let top = LIFTED * offered;
+            let seen = server.sent.within(self.period, N) >= FEW;
+            let lifted = raised >= top && (seen || self.now - server.symptom_ns > WINDOW_NS * FAR_BACK);
+            let lapsed = Some(raised.min(ceiling.max(top))).filter(|_| !lifted);
             self.servers.entry(id).and_modify(|s| s.ceiling_per_s = lapsed);
         }
     }
