--- a/src/brain.rs
+++ b/src/brain.rs
@@ -609,9 +609,13 @@
             server.stood.add(self.period);
             server.normal.0 += f64::from(u8::from(warm));
         }
-        if server.suspect.take().is_some_and(|s| s.trials >= COLD_TRIALS) {
-            // It may have started anew while it was silent: climb again from the cold share.
-            server.cold_since_ns = Some(now);
+        if let Some(suspect) = server.suspect.take() {
+            if suspect.trials >= COLD_TRIALS {
+                // It may have started anew while it was silent: climb again from the cold share.
+                server.cold_since_ns = Some(now);
+            } else if delay_ns < share(late_ns, QUICK_OF) {
+                server.ceiling_per_s = server.ceiling_before;
+            }
         }
         if delay_ns > late_ns {
             self.press(id, LEAST_CUT);
@@ -842,13 +846,17 @@
         server.suspect.is_none_or(|s| server.out.is_empty() && self.now >= s.next_trial_ns)
     }
 
+    /// Whether the last set-up stood at once.
+    fn quick(&self, server: &Server) -> bool {
+        server.delay_ns > 0 && server.delay_ns < share(self.gap_ns, QUICK_OF)
+    }
+
     /// Whether one more set-up may find out about those unanswered. A queue grows step by step; where set-ups
     /// stood at once until now, one that stays out is lost or the server silent, and holding all others back
     /// would leave that open. One at a time, a gap apart.
     fn may_scout(&self, server: &Server) -> bool {
         let last_ns = server.out.last().map_or(self.now, |o| o.sent_ns);
-        let quick = server.delay_ns > 0 && server.delay_ns < share(self.gap_ns, QUICK_OF);
-        quick && self.now - last_ns > self.gap_ns.max(self.apart_ns(server))
+        self.quick(server) && self.now - last_ns > self.gap_ns.max(self.apart_ns(server))
     }
 
     /// Late set-ups press a server before their time-out; one that answers nothing at all is suspected, and
@@ -863,11 +871,15 @@
             let Some(oldest) = server.oldest_ns() else { continue };
             let late = self.now - oldest > late_ns;
             let silent = self.now - oldest.max(server.heard_ns) > silent_ns;
+            // One set-up lost where others stood at once is no jam; the live call after it tells.
+            let jam = !self.quick(server) || server.suspect.is_some_and(|s| s.trials > 0);
             if late {
                 self.press(id, LEAST_CUT);
             }
             if silent {
-                self.press(id, HARD_CUT);
+                if jam {
+                    self.press(id, HARD_CUT);
+                }
                 self.suspect(id);
                 self.call_off(id, |_, age_ns| age_ns > silent_ns, actions);
             }
