--- a/src/brain.rs
+++ b/src/brain.rs
@@ -460,7 +460,12 @@
                     restarted.push(entry.server);
                 }
                 None => {
-                    self.servers.insert(entry.server, Server::new(entry, cold, self.now));
+                    // A machine that replaces another has its number, and takes what that one took.
+                    let before = self.servers.values().filter(|s| s.entry.number == entry.number);
+                    let normal =
+                        before.map(|s| s.normal).fold((0.0, 0.0), |a, b| if a.1 > b.1 { a } else { b });
+                    self.servers
+                        .insert(entry.server, Server { normal, ..Server::new(entry, cold, self.now) });
                     restarted.push(entry.server);
                 }
             }
@@ -491,7 +496,8 @@
             may_have_run: None,
         };
         self.calls.insert(call.id, row);
-        if let Some(server) = self.servers.values_mut().find(|s| s.entry.number == call.first_choice) {
+        let meant = |s: &&mut Server| s.entry.number == call.first_choice && s.in_service();
+        if let Some(server) = self.servers.values_mut().find(meant) {
             server.offered.add(self.period);
         }
         self.place(call.id, actions);
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -427,3 +427,22 @@
         assert!((1..=6).contains(&sent), "ten a second before; {sent} in its first second");
     }
 }
+
+#[test]
+fn a_machine_that_replaces_another_takes_its_number_and_its_share() {
+    // south-routing: after a replacement under a new id nothing was sent until the new server was warm.
+    for (old, new) in [(11, 44), (44, 11)] {
+        let mut front = Front::new(settings(), &[entry(old, 1), entry(22, 2)]);
+        front.steady(60 * MS, 6 * S);
+        front.event(Event::List(News::Changes(vec![
+            Entry { availability: Availability::Draining, ..entry(old, 1) },
+            Entry { up_since_ns: front.now, ..entry(new, 1) },
+        ])));
+        let from = front.now;
+        front.steady(60 * MS, 3 * S);
+        let there = |a: &Action| matches!(a, Action::Send { server, .. } if *server == new);
+        let sent = front.log.iter().filter(|(at, a)| *at > from && there(a)).count();
+        // 16 a second before: a third of that and more, but not all of it.
+        assert!((8..=30).contains(&sent), "{sent} in 3 s");
+    }
+}
