--- a/src/brain.rs
+++ b/src/brain.rs
@@ -541,7 +541,8 @@
                 let wait_ns = wait.unwrap_or(self.gap_ns).min(WINDOW_NS);
                 self.hold_off(server, wait_ns);
                 let now = self.now;
-                self.servers.entry(server).and_modify(|s| (s.heard_ns, s.delay_ns) = (now, wait_ns));
+                // Gone by the end of that wait, as waits here fade by half of the time that passes.
+                self.servers.entry(server).and_modify(|s| (s.heard_ns, s.delay_ns) = (now, wait_ns / 2));
             }
             // No line free is a ceiling just as well: what stands there is the rate at which lines come free.
             Outcome::NoCircuit => {
