--- a/src/brain.rs
+++ b/src/brain.rs
@@ -58,7 +58,7 @@
 const LAPSE_APART: f64 = 0.07;
 /// A ceiling does not rise further over the offered and the normal rate than this: second choices of all
 /// fronts would fall on whatever is open.
-const LIFTED: f64 = 2.0;
+const LIFTED: f64 = 2.5;
 /// The lowest ceiling, as a share of this front's normal rate there: a little must pass, or nothing would be
 /// learned. A share, since whatever one front may always do is done by all of them.
 const LEAST_OF_NORMAL: f64 = 0.1;
