--- a/src/brain.rs
+++ b/src/brain.rs
@@ -70,10 +70,10 @@
 const SILENT_GAPS: f64 = 2.0;
 /// A suspect that let this many live calls pass unanswered may have started anew meanwhile.
 const COLD_TRIALS: u32 = 3;
-/// Rest between single live calls to a suspect: at least so many resend gaps and set-ups' normal time there; it
-/// doubles up to so many times the first.
-const TRIAL_GAPS: f64 = 1.0;
-const TRIAL_DOUBLES: u64 = 16;
+/// Rest of a number whose lines were all busy: as long as a caller rests who dials again.
+const BUSY_REST_NS: Nanos = WINDOW_NS / 2;
+/// The rest between live calls to a suspect begins at the normal distance there, and doubles so often.
+const TRIAL_DOUBLINGS: u32 = 4;
 
 /// Set-ups of one kind at one server, each by its period: those of the window, or the last FEW of them.
 #[derive(Default)]
@@ -93,10 +93,10 @@
 struct Suspect {
     next_trial_ns: Nanos,
     rest_ns: Nanos,
-    most_ns: Nanos,
     trials: u32,
 }
 
+#[derive(Default)]
 struct Server {
     entry: Entry,
     offered: Count,
@@ -149,21 +149,19 @@
     settings: Settings,
     rng: Pcg32,
     now: Nanos,
-    started_ns: Nanos,
+    started_ns: Option<Nanos>,
     period: u64,
     servers: BTreeMap<ServerId, Server>,
     calls: BTreeMap<CallId, Row>,
     /// Numbers dialled that were given no server, and when they were first tried.
     unserved: BTreeMap<u64, Nanos>,
-    /// Numbers whose lines were all busy: until when they rest, and for how long they did.
-    busy: BTreeMap<u64, (Nanos, Nanos)>,
+    /// Numbers whose lines were all busy, and until when they rest.
+    busy: BTreeMap<u64, Nanos>,
     top_worth: f64,
-    patience_most_ns: Nanos,
     gap_ns: Nanos,
     wake_ns: Option<Nanos>,
     stall_ns: Nanos,
     subscribe_ns: Option<Nanos>,
-    begun: bool,
 }
 
 impl Controller {
@@ -175,19 +173,17 @@
         Controller {
             rng: Pcg32::seed_from_u64(seed),
             now: 0,
-            started_ns: 0,
+            started_ns: None,
             period: 0,
             servers: BTreeMap::new(),
             calls: BTreeMap::new(),
             unserved: BTreeMap::new(),
             busy: BTreeMap::new(),
             top_worth,
-            patience_most_ns: settings.classes.iter().map(|c| c.deadline_ns).max().unwrap_or(0),
             gap_ns,
             wake_ns: None,
             stall_ns: 0,
             subscribe_ns: None,
-            begun: false,
             settings,
         }
     }
@@ -203,7 +199,12 @@
             Event::Standing { call, attempt } => self.on_standing(call, attempt),
             Event::Settled { call, attempt, server, outcome, closed, report } => {
                 self.on_report(server, report);
-                self.on_settled(call, attempt, server, outcome, closed, actions);
+                self.on_outcome(server, call, outcome);
+                if closed {
+                    self.forget(call);
+                } else {
+                    self.on_settled(call, attempt, outcome, actions);
+                }
             }
             Event::Reported { server, report } => self.on_report(server, report),
             Event::Wake => {}
@@ -215,9 +216,8 @@
 
     fn begin(&mut self, now: Nanos, actions: &mut Vec<Action>) {
         self.now = self.now.max(now);
-        if !self.begun {
-            self.begun = true;
-            self.started_ns = self.now;
+        if self.started_ns.is_none() {
+            self.started_ns = Some(self.now);
             self.period = self.now / PERIOD_NS;
             if self.settings.list_on_request {
                 actions.push(Action::Subscribe);
@@ -240,21 +240,19 @@
         let period = self.now / PERIOD_NS;
         let passed = period - self.period;
         if passed > 0 {
-            let (now, patience_ns) = (self.now, self.patience_most_ns);
+            let (now, classes) = (self.now, &self.settings.classes);
+            let patience_ns = classes.iter().map(|c| c.deadline_ns).max().unwrap_or(0);
             self.unserved.retain(|_, first| now - *first < patience_ns);
-            self.busy.retain(|_, (until_ns, _)| now < *until_ns + WINDOW_NS);
+            self.busy.retain(|_, until_ns| now < *until_ns + WINDOW_NS);
         }
         self.period = period;
-        let cold_ns = self.settings.cold_ns;
         for server in self.servers.values_mut() {
             for count in [&mut server.offered, &mut server.sent, &mut server.stood] {
                 count.slide(period);
             }
-            if passed > 0
-                && server.is_warm(self.now, cold_ns)
-                && server.suspect.is_none()
-                && server.in_service()
-            {
+            let warm = server.cold_share(self.now, &self.settings).is_none();
+            let usual = warm && server.suspect.is_none() && server.in_service();
+            if passed > 0 && usual {
                 let kept = NORMAL_KEPT.powi(passed.min(1000) as i32);
                 let span_s = passed as f64 * PERIOD_NS as f64 / 1e9;
                 server.normal = (server.normal.0 * kept, server.normal.1 * kept + span_s);
@@ -267,27 +265,18 @@
 
     /// The span that the window covers by now, in seconds: less than N periods just after a start.
     fn window_s(&self) -> f64 {
-        let age = (self.now - self.started_ns).max(WINDOW_NS / 3);
+        let age = (self.now - self.started_ns.unwrap_or(self.now)).max(WINDOW_NS / 3);
         age.min(WINDOW_NS) as f64 / 1e9
     }
 
-    /// The overload state of a server for one more set-up: 0, 1 past S1, 2 past S2 of the ceiling.
+    /// The overload state of a server for one more set-up: 0, 1 past S1, 2 past S2 of the ceiling, or the one
+    /// that the wait there calls for by itself: counts over a window see a jam of one second late; the age of
+    /// what is unanswered and the last set-up's delay show it as it grows.
     fn overload_state(&self, server: &Server) -> u8 {
-        let waiting = self.waiting_state(server);
-        let Some(ceiling) = self.ceiling(server) else { return waiting };
-        let estimate = self.estimate(server, 1.0);
-        match () {
-            _ if estimate > S2 * ceiling => 2,
-            _ if estimate > S1 * ceiling => 1,
-            _ => waiting,
-        }
-    }
-
-    /// The overload state that the wait there calls for by itself. Counts over a window see a jam of one
-    /// second late; the age of what is unanswered and the last set-up's delay show it as it grows.
-    fn waiting_state(&self, server: &Server) -> u8 {
-        let gaps = self.wait_gaps(server);
-        u8::from(gaps > LATE_GAPS) + u8::from(gaps > WAIT_GAPS_2)
+        let (gaps, estimate) = (self.wait_gaps(server), self.estimate(server, 1.0));
+        let waiting = u8::from(gaps > LATE_GAPS) + u8::from(gaps > WAIT_GAPS_2);
+        let past = |ceiling| u8::from(estimate > S1 * ceiling) + u8::from(estimate > S2 * ceiling);
+        self.ceiling(server).map_or(0, past).max(waiting)
     }
 
     /// The wait expected at a server, in resend gaps.
@@ -309,16 +298,17 @@
 
     /// The ceiling in force: the one that a symptom set, or that of a cold server where it is lower.
     fn ceiling(&self, server: &Server) -> Option<f64> {
-        match (server.ceiling_per_s, self.cold_ceiling(server)) {
-            (Some(a), Some(b)) => Some(a.min(b)),
-            (a, b) => a.or(b),
-        }
+        [server.ceiling_per_s, self.cold_ceiling(server)].into_iter().flatten().reduce(f64::min)
     }
 
     /// Tier refusal: whether this server holds this call back at present.
     fn holds_back(&self, server: &Server, row: &Row) -> bool {
         let call = &row.call;
-        if self.now < server.told_wait_until_ns || !self.may_try_suspect(server) || !self.cold_room(server) {
+        let rests = |s: Suspect| !server.out.is_empty() || self.now < s.next_trial_ns;
+        if self.now < server.told_wait_until_ns
+            || server.suspect.is_some_and(rests)
+            || !self.cold_room(server)
+        {
             return true;
         }
         if self.may_scout(server) {
@@ -333,10 +323,7 @@
             0 => false,
             1 => cheapest && !urgent,
             // Calls that were cut come again all at once: urgent ones too wait where they would be late.
-            _ => {
-                let wait_ns = self.expected_wait_ns(server);
-                !urgent || wait_ns > self.settings.classes[call.class].aim_ns
-            }
+            _ => !urgent || self.expected_wait_ns(server) > self.settings.classes[call.class].aim_ns,
         }
     }
 
@@ -344,18 +331,18 @@
     /// two drawn with fewer of this front's set-ups unanswered.
     fn pick(&mut self, id: CallId) -> Option<ServerId> {
         let row = self.calls.get(&id)?;
-        let (mut open, mut first) = (Vec::new(), None);
+        let mut open = Vec::new();
         for server in self.servers.values() {
             if !self.may_send(row, server) || self.holds_back(server, row) {
                 continue;
             }
             if server.entry.number == row.call.first_choice {
-                first = Some(server.entry.server);
+                return Some(server.entry.server);
             }
             open.push((server.out.len(), self.expected_wait_ns(server), server.entry.server));
         }
-        if first.is_some() || open.len() < 2 {
-            return first.or(open.first().map(|(_, _, server)| *server));
+        if open.len() < 2 {
+            return open.first().map(|(_, _, server)| *server);
         }
         let one = self.draw(open.len());
         let other = (one + 1 + self.draw(open.len() - 1)) % open.len();
@@ -390,18 +377,15 @@
         let ids: Vec<ServerId> = self.servers.keys().copied().collect();
         for id in ids {
             let server = &self.servers[&id];
-            let Some(ceiling) = server.ceiling_per_s else { continue };
-            if self.now.saturating_sub(server.symptom_ns) < CLEAN_PERIODS * PERIOD_NS {
+            let clean_ns = self.now.saturating_sub(server.symptom_ns);
+            let Some(ceiling) = server.ceiling_per_s.filter(|_| clean_ns >= CLEAN_PERIODS * PERIOD_NS) else {
                 continue;
-            }
+            };
             let apart = self.apart_ns(server) as f64 / PERIOD_NS as f64;
-            let step = LAPSE_STEP.min(1.0 + LAPSE_APART / apart);
-            let raised = ceiling * step.powi(periods as i32);
-            let offered = self.per_s(&server.offered, 0.0).max(self.normal_per_s(server));
-            let top = LIFTED * offered;
-            let seen = server.sent.within(self.period, N) >= FEW;
-            let lifted = raised >= top && (seen || self.now - server.symptom_ns > WINDOW_NS * FAR_BACK);
-            let lapsed = Some(raised.min(ceiling.max(top))).filter(|_| !lifted);
+            let raised = ceiling * LAPSE_STEP.min(1.0 + LAPSE_APART / apart).powi(periods as i32);
+            let top = LIFTED * self.per_s(&server.offered, 0.0).max(self.normal_per_s(server));
+            let seen = server.sent.within(self.period) >= FEW || clean_ns > WINDOW_NS * FAR_BACK;
+            let lapsed = Some(raised.min(ceiling.max(top))).filter(|_| raised < top || !seen);
             self.servers.entry(id).and_modify(|s| s.ceiling_per_s = lapsed);
         }
     }
@@ -416,8 +400,8 @@
         self.per_s(&server.offered, 0.0) * CR + self.per_s(&server.sent, more) * (CA - CR)
     }
 
-    /// This front's normal rate at a server, before whatever goes on there now; its sum over all fronts is the
-    /// server's normal load. Where none is known, what is meant for it by first choice, at most what others get.
+    /// This front's normal rate at a server, before whatever goes on there now; its sum over all fronts is
+    /// the server's normal load. Where none is known, its first choices, at most what others get.
     fn normal_per_s(&self, server: &Server) -> f64 {
         let rate = |s: &Server| s.normal.0 / s.normal.1.max(1.0);
         if server.normal.1 > 0.0 {
@@ -447,35 +431,26 @@
                 entries
             }
         };
-        let mut restarted = Vec::new();
         for entry in entries {
-            let cold = (entry.up_since_ns > 0).then_some(entry.up_since_ns);
-            match self.servers.get_mut(&entry.server) {
-                // The same process as before: only its listing changed.
-                Some(known) if known.entry.up_since_ns == entry.up_since_ns => known.entry = entry,
-                // Unknown, or started again under the same id: nothing learned before holds.
-                Some(known) => {
-                    let (out, normal) = (std::mem::take(&mut known.out), known.normal);
-                    *known = Server { out, normal, ..Server::new(entry, cold, self.now) };
-                    restarted.push(entry.server);
-                }
-                None => {
-                    // A machine that replaces another has its number, and takes what that one took.
-                    let before = self.servers.values().filter(|s| s.entry.number == entry.number);
-                    let normal =
-                        before.map(|s| s.normal).fold((0.0, 0.0), |a, b| if a.1 > b.1 { a } else { b });
-                    self.servers
-                        .insert(entry.server, Server { normal, ..Server::new(entry, cold, self.now) });
-                    restarted.push(entry.server);
-                }
+            let (id, now) = (entry.server, self.now);
+            // The same process as before: only its listing changed.
+            if let Some(known) =
+                self.servers.get_mut(&id).filter(|s| s.entry.up_since_ns == entry.up_since_ns)
+            {
+                known.entry = entry;
+                continue;
             }
-        }
-        for id in restarted {
-            // A drawn phase: many fronts hear of one start at once.
-            let phase = self.draw(1000) as f64 / 1000.0;
-            let rate = self.servers.get(&id).and_then(|s| self.cold_ceiling(s)).unwrap_or(0.0);
-            let Some(server) = self.servers.get_mut(&id).filter(|_| rate > 0.0) else { continue };
-            server.sent_ns = self.now.saturating_sub((phase * 1e9 / rate) as Nanos);
+            // Unknown, or started again: nothing learned holds but what went to its number before.
+            let before = self.servers.values().filter(|s| s.entry.number == entry.number).map(|s| s.normal);
+            let normal = before.fold((0.0, 0.0), |a, b| if a.1 > b.1 { a } else { b });
+            let out = self.servers.remove(&id).map_or(Vec::new(), |known| known.out);
+            let cold_since_ns = (entry.up_since_ns > 0).then_some(entry.up_since_ns);
+            let mut server = Server { entry, normal, out, cold_since_ns, heard_ns: now, ..Server::default() };
+            if let Some(rate) = self.cold_ceiling(&server).filter(|rate| *rate > 0.0) {
+                // A drawn phase: many fronts hear of one start at once.
+                server.sent_ns = now.saturating_sub(share((1e9 / rate) as Nanos, self.drawn()));
+            }
+            self.servers.insert(id, server);
         }
     }
 
@@ -498,7 +473,7 @@
         self.calls.insert(call.id, row);
         let meant = |s: &&mut Server| s.entry.number == call.first_choice && s.in_service();
         if let Some(server) = self.servers.values_mut().find(meant) {
-            server.offered.add(self.period);
+            server.offered.0.push_back(self.period);
         }
         self.place(call.id, actions);
     }
@@ -517,53 +492,42 @@
         }
         row.state = State::Standing;
         let server = row.server;
-        if let Some(number) = row.call.dialled {
-            self.busy.remove(&number);
-        }
+        row.call.dialled.and_then(|number| self.busy.remove(&number));
         self.answered(server, id, true, true);
     }
 
-    fn on_settled(
-        &mut self,
-        id: CallId,
-        attempt: u32,
-        server: ServerId,
-        outcome: Outcome,
-        closed: bool,
-        actions: &mut Vec<Action>,
-    ) {
+    /// What an attempt's end tells of its server.
+    fn on_outcome(&mut self, server: ServerId, id: CallId, outcome: Outcome) {
         // A set-up turned away did not wait in line: it tells nothing of those that do, but the wait itself.
         let alive = matches!(outcome, Outcome::Passed | Outcome::Fault | Outcome::LinesBusy);
         self.answered(server, id, alive, outcome == Outcome::Passed);
         match outcome {
             Outcome::ProcessorFull(wait) => {
                 self.press(server, HARD_CUT);
-                let wait_ns = wait.unwrap_or(self.gap_ns).min(WINDOW_NS);
+                let (now, wait_ns) = (self.now, wait.unwrap_or(self.gap_ns).min(WINDOW_NS));
                 self.hold_off(server, wait_ns);
-                let now = self.now;
                 // Gone by the end of that wait, as waits here fade by half of the time that passes.
                 self.servers.entry(server).and_modify(|s| (s.heard_ns, s.delay_ns) = (now, wait_ns / 2));
             }
             // No line free is a ceiling just as well: what stands there is the rate at which lines come free.
             Outcome::NoCircuit => {
                 self.press(server, LEAST_CUT);
-                let wait = share(self.gap_ns, 0.5 + self.draw(1000) as f64 / 1000.0);
+                let wait = share(self.gap_ns, 0.5 + self.drawn());
                 self.hold_off(server, wait);
             }
             Outcome::TimedOut => self.press(server, HARD_CUT),
             Outcome::NoRoute => self.suspect(server),
             _ => {}
         }
+    }
+
+    fn on_settled(&mut self, id: CallId, attempt: u32, outcome: Outcome, actions: &mut Vec<Action>) {
         let Some(row) = self.calls.get_mut(&id) else { return };
-        if closed {
-            self.forget(id);
-            return;
-        }
         if row.state != State::Out || attempt + 1 != row.attempts {
             return;
         }
         if !outcome.never_ran() && row.may_have_run.is_none() {
-            let entry = self.servers.get(&server).map(|s| s.entry);
+            let entry = self.servers.get(&row.server).map(|s| s.entry);
             row.may_have_run = entry.map(|e| (e.zone, e.number, row.taken_ns));
         }
         row.calling_off = false;
@@ -587,16 +551,15 @@
     }
 
     fn hold_off(&mut self, id: ServerId, wait_ns: Nanos) {
-        if let Some(server) = self.servers.get_mut(&id) {
-            server.told_wait_until_ns = server.told_wait_until_ns.max(self.now + wait_ns);
-        }
+        let until_ns = self.now + wait_ns;
+        self.servers.entry(id).and_modify(|s| s.told_wait_until_ns = s.told_wait_until_ns.max(until_ns));
     }
 
     /// A set-up is no longer unanswered; `alive` says that the server itself answered it.
     fn answered(&mut self, id: ServerId, call: CallId, alive: bool, stands: bool) {
-        let (now, late_ns, cold_ns) = (self.now, share(self.gap_ns, LATE_GAPS), self.settings.cold_ns);
+        let (now, late_ns) = (self.now, share(self.gap_ns, LATE_GAPS));
         let Some(server) = self.servers.get_mut(&id) else { return };
-        let warm = server.is_warm(now, cold_ns);
+        let warm = server.cold_share(now, &self.settings).is_none();
         let Some(at) = server.out.iter().position(|o| o.call == call) else { return };
         let sent_ns = server.out.remove(at).sent_ns;
         if !alive {
@@ -613,7 +576,7 @@
             }
         }
         if stands {
-            server.stood.add(self.period);
+            server.stood.0.push_back(self.period);
             server.normal.0 += f64::from(u8::from(warm));
         }
         if let Some(suspect) = server.suspect.take() {
@@ -632,11 +595,9 @@
     // ---- Placing a call, and giving it up ----
 
     fn place(&mut self, id: CallId, actions: &mut Vec<Action>) {
-        let Some(row) = self.calls.get(&id) else { return };
+        let Some(row) = self.calls.get_mut(&id) else { return };
         if row.state == State::Releasing && self.now >= row.not_before_ns {
-            if let Some(row) = self.calls.get_mut(&id) {
-                row.state = State::Held;
-            }
+            row.state = State::Held;
         }
         if self.number_rests(id) {
             self.give_up(id, actions);
@@ -690,22 +651,21 @@
         row.state = State::Out;
         row.server = server;
         row.attempts += 1;
-        if let Some((until_ns, rest_ns)) = row.call.dialled.and_then(|n| self.busy.get_mut(&n)) {
-            *until_ns = now + *rest_ns;
+        if let Some(until_ns) = row.call.dialled.and_then(|n| self.busy.get_mut(&n)) {
+            *until_ns = now + BUSY_REST_NS;
         }
         // Where attempts cannot be called off, only their time-out frees a call from a silent server.
         let timeout_ns = if may_cancel { left } else { left.min(share(gap_ns, SILENT_GAPS)) };
         if let Some(server) = self.servers.get_mut(&server) {
-            server.sent.add(self.period);
+            server.sent.0.push_back(self.period);
             server.sent_ns = now;
             if server.out.is_empty() {
                 server.heard_ns = now;
             }
             server.out.push(Unanswered { call: id, sent_ns: now, overtaken: false });
             if let Some(suspect) = &mut server.suspect {
+                suspect.next_trial_ns = now + (suspect.rest_ns << suspect.trials.min(TRIAL_DOUBLINGS));
                 suspect.trials += 1;
-                suspect.next_trial_ns = now + suspect.rest_ns;
-                suspect.rest_ns = (suspect.rest_ns * 2).min(suspect.most_ns);
             }
         }
         actions.push(Action::Send { call: id, server, timeout_ns });
@@ -726,7 +686,7 @@
             return;
         }
         // Drawn, so that refused callers don't come back in step.
-        let wait = self.gap_ns + share(self.gap_ns, self.draw(1000) as f64 / 1000.0);
+        let wait = share(self.gap_ns, 1.0 + self.drawn());
         let come_back_ns = Some(wait.min(self.settings.max_come_back_ns)).filter(|w| *w > 0);
         actions.push(Action::Refuse { call: id, come_back_ns });
     }
@@ -787,35 +747,26 @@
     }
 
     /// A number whose lines were all busy goes on drawing callers, and each set-up for it is work for
-    /// nothing: it rests, longer each time, but for single live calls.
+    /// nothing: it rests, but for single live calls.
     fn number_busy(&mut self, id: CallId) {
-        let Some(number) = self.calls.get(&id).and_then(|row| row.call.dialled) else { return };
-        let (now, gap_ns) = (self.now, self.gap_ns);
-        let rest_ns = self.busy.get(&number).map_or(gap_ns, |(_, rest_ns)| (2 * rest_ns).min(WINDOW_NS));
-        self.busy.insert(number, (now + rest_ns, rest_ns));
+        let number = self.calls.get(&id).and_then(|row| row.call.dialled);
+        self.busy.extend(number.map(|number| (number, self.now + BUSY_REST_NS)));
     }
 
     fn number_rests(&self, id: CallId) -> bool {
-        let row = self.calls.get(&id).filter(|row| row.state == State::Held);
-        let number = row.and_then(|row| row.call.dialled);
-        number.and_then(|n| self.busy.get(&n)).is_some_and(|(until_ns, _)| self.now < *until_ns)
-    }
-
-    /// The share of its capacity that a server surely has at its age; `None` once it is warm.
-    fn cold_share(&self, server: &Server) -> Option<f64> {
-        let age = self.now.saturating_sub(server.cold_since_ns?);
-        let warmth = age as f64 / self.settings.cold_ns.max(1) as f64;
-        (warmth < 1.0).then_some(self.settings.cold_from + (1.0 - self.settings.cold_from) * warmth)
+        let Some(row) = self.calls.get(&id).filter(|row| row.state == State::Held) else { return false };
+        let rest = row.call.dialled.and_then(|number| self.busy.get(&number));
+        rest.is_some_and(|until_ns| self.now < *until_ns)
     }
 
     /// A just-started server has no ceiling and the fewest unanswered, so it would draw everything: it gets
-    /// this front's normal rate there times what it can do at its age. Where one front alone sees enough of it
-    /// stand, that shows what it can do: it may grow from that, far below what topples it.
+    /// this front's normal rate there times what it can do at its age. Where this front sees enough stand,
+    /// that shows what it can do: the rate may grow from it, far below what topples the server.
     fn cold_ceiling(&self, server: &Server) -> Option<f64> {
-        let known = self.normal_per_s(server) * self.cold_share(server)?;
+        let known = self.normal_per_s(server) * server.cold_share(self.now, &self.settings)?;
         let growth = (self.settings.tip_multiple * GROWTH_OF_TIP).max(1.0);
-        let enough = server.stood.within(self.period, N) >= FEW;
-        Some(if enough { known.max(self.per_s(&server.stood, 0.0) * growth) } else { known })
+        let proven = Some(self.per_s(&server.stood, 0.0)).filter(|_| server.stood.within(self.period) >= FEW);
+        Some(proven.map_or(known, |rate| known.max(rate * growth)))
     }
 
     /// A cold server's share is paced, so that calls held here don't fall on it the moment it is listed.
@@ -826,31 +777,17 @@
 
     /// A silent server also shows few unanswered once its attempts have ended: it gets single live calls.
     fn suspect(&mut self, id: ServerId) {
-        let drawn = 0.5 + self.draw(1000) as f64 / 1000.0;
+        let drawn = 0.5 + self.drawn();
         let Some(server) = self.servers.get(&id).filter(|s| s.suspect.is_none()) else { return };
-        let rest_ns = share(self.gap_ns, TRIAL_GAPS).max(share(self.apart_ns(server), drawn));
-        let suspect = Suspect {
-            next_trial_ns: self.now + rest_ns,
-            rest_ns,
-            most_ns: TRIAL_DOUBLES * rest_ns,
-            trials: 0,
-        };
+        let rest_ns = self.gap_ns.max(share(self.apart_ns(server), drawn));
+        let suspect = Suspect { next_trial_ns: self.now + rest_ns, rest_ns, trials: 0 };
         self.servers.entry(id).and_modify(|s| s.suspect = Some(suspect));
     }
 
-    /// How far apart this front's set-ups to a server normally are: what each front does once in that time is no
-    /// more than the server's normal load, however many fronts there are.
+    /// How far apart this front's set-ups to a server normally are: what each front does once in that time
+    /// is no more than the server's normal load, however many fronts there are.
     fn apart_ns(&self, server: &Server) -> Nanos {
-        let rate = self.normal_per_s(server);
-        if rate > 0.0 {
-            ((1e9 / rate) as Nanos).min(WINDOW_NS * FAR_BACK)
-        } else {
-            WINDOW_NS
-        }
-    }
-
-    fn may_try_suspect(&self, server: &Server) -> bool {
-        server.suspect.is_none_or(|s| server.out.is_empty() && self.now >= s.next_trial_ns)
+        ((1e9 / self.normal_per_s(server)) as Nanos).min(WINDOW_NS * FAR_BACK)
     }
 
     /// Whether the last set-up stood at once.
@@ -881,44 +818,32 @@
             // One set-up lost where others stood at once is no jam; the live call after it tells.
             let jam = !self.quick(server) || server.suspect.is_some_and(|s| s.trials > 0);
             if late {
-                self.press(id, LEAST_CUT);
+                self.press(id, if silent && jam { HARD_CUT } else { LEAST_CUT });
             }
             if silent {
-                if jam {
-                    self.press(id, HARD_CUT);
-                }
                 self.suspect(id);
                 self.call_off(id, |_, age_ns| age_ns > silent_ns, actions);
             }
         }
     }
 
-    fn call_off(
-        &mut self,
-        id: ServerId,
-        lost: impl Fn(&Unanswered, Nanos) -> bool,
-        actions: &mut Vec<Action>,
-    ) {
+    fn call_off(&mut self, id: ServerId, lost: impl Fn(&Unanswered, Nanos) -> bool, to: &mut Vec<Action>) {
         let Some(server) = self.servers.get(&id).filter(|_| self.settings.may_cancel) else { return };
         for out in &server.out {
             let Some(row) = self.calls.get_mut(&out.call) else { continue };
             let due = lost(out, self.now - out.sent_ns) && !row.calling_off && row.state == State::Out;
             if due && row.attempts < self.settings.max_attempts {
                 row.calling_off = true;
-                actions.push(Action::Cancel { call: out.call, attempt: row.attempts - 1 });
+                to.push(Action::Cancel { call: out.call, attempt: row.attempts - 1 });
             }
         }
     }
 
     /// Held and released calls are tried again whenever anything happens: dearest first, then oldest.
     fn look_at_calls(&mut self, actions: &mut Vec<Action>) {
-        let mut waiting: Vec<(i64, Nanos, CallId)> = Vec::new();
-        for (id, row) in &self.calls {
-            if matches!(row.state, State::Held | State::Releasing) {
-                let worth = self.worth(row);
-                waiting.push((-(worth * 1000.0) as i64, row.taken_ns, *id));
-            }
-        }
+        let held = self.calls.iter().filter(|(_, row)| matches!(row.state, State::Held | State::Releasing));
+        let key = |(id, row): (&CallId, &Row)| (-(self.worth(row) * 1000.0) as i64, row.taken_ns, *id);
+        let mut waiting: Vec<_> = held.map(key).collect();
         waiting.sort_unstable();
         for (_, _, id) in waiting {
             self.place(id, actions);
@@ -942,38 +867,21 @@
         }
     }
 
+    /// Drawn from 0 to 1.
+    fn drawn(&mut self) -> f64 {
+        self.draw(1000) as f64 / 1000.0
+    }
+
     fn draw(&mut self, below: usize) -> usize {
         ((u64::from(self.rng.next_u32()) * below.max(1) as u64) >> 32) as usize
     }
 }
 
 impl Server {
-    fn new(entry: Entry, cold_since_ns: Option<Nanos>, now: Nanos) -> Self {
-        Server {
-            entry,
-            offered: Count::default(),
-            sent: Count::default(),
-            stood: Count::default(),
-            normal: (0.0, 0.0),
-            ceiling_per_s: None,
-            ceiling_before: None,
-            symptom_ns: 0,
-            deaf_until_ns: 0,
-            cut: 1.0,
-            told_wait_until_ns: 0,
-            out: Vec::new(),
-            delay_ns: 0,
-            heard_ns: now,
-            sent_ns: 0,
-            suspect: None,
-            cold_since_ns,
-            free: None,
-            free_ns: now,
-        }
-    }
-
-    fn is_warm(&self, now: Nanos, cold_ns: Nanos) -> bool {
-        self.cold_since_ns.is_none_or(|since| now.saturating_sub(since) >= cold_ns)
+    /// The share of its capacity that it surely has at its age; `None` once it is warm.
+    fn cold_share(&self, now: Nanos, settings: &Settings) -> Option<f64> {
+        let warmth = now.saturating_sub(self.cold_since_ns?) as f64 / settings.cold_ns.max(1) as f64;
+        (warmth < 1.0).then_some(settings.cold_from + (1.0 - settings.cold_from) * warmth)
     }
 
     fn in_service(&self) -> bool {
@@ -987,10 +895,6 @@
 }
 
 impl Count {
-    fn add(&mut self, period: u64) {
-        self.0.push_back(period);
-    }
-
     fn slide(&mut self, period: u64) {
         while let Some(age) = self.0.front().map(|oldest| period - oldest) {
             if age < N || self.0.len() <= FEW {
@@ -1009,8 +913,8 @@
         }
     }
 
-    fn within(&self, period: u64, periods: u64) -> usize {
-        self.0.iter().rev().take_while(|at| period - **at < periods).count()
+    fn within(&self, period: u64) -> usize {
+        self.0.iter().rev().take_while(|at| period - **at < N).count()
     }
 }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -80,18 +80,19 @@
 }
 
 /// Whether a listed server may be used.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum Availability {
     /// Takes set-ups.
     Ready,
     /// Finishes what it has.
     Draining,
     /// Withdrawn.
+    #[default]
     Gone,
 }
 
 /// A server as the list shows it.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct Entry {
     /// Its id.
     pub server: ServerId,
