--- a/src/brain.rs
+++ b/src/brain.rs
@@ -344,8 +344,8 @@
         if open.len() < 2 {
             return open.first().map(|(_, _, server)| *server);
         }
-        let one = self.draw(open.len());
-        let other = (one + 1 + self.draw(open.len() - 1)) % open.len();
+        let one = (self.drawn() * open.len() as f64) as usize;
+        let other = (one + 1 + (self.drawn() * (open.len() - 1) as f64) as usize) % open.len();
         Some(open[one].min(open[other]).2)
     }
 
@@ -417,7 +417,7 @@
         let entries = match news {
             News::Failed => {
                 // Asking again at once, all fronts together, is what makes discovery fail.
-                let wait = PERIOD_NS * (5 + self.draw(10) as Nanos);
+                let wait = PERIOD_NS * 5 + share(PERIOD_NS * 10, self.drawn());
                 self.subscribe_ns = Some(self.now + wait).filter(|_| self.settings.list_on_request);
                 return;
             }
@@ -458,11 +458,14 @@
         if self.calls.contains_key(&call.id) || call.class >= self.settings.classes.len() {
             return;
         }
+        // A number that was given up on lately comes again.
+        let first_ns = call.dialled.and_then(|number| self.unserved.remove(&number));
+        let patience_ns = self.settings.classes[call.class].deadline_ns;
         let row = Row {
             call,
             state: State::Held,
             taken_ns: self.now,
-            first_ns: self.first_try_ns(&call),
+            first_ns: first_ns.filter(|first| self.now - first < patience_ns).unwrap_or(self.now),
             deadline_ns: self.now + self.safe_budget_ns(call.budget_ns),
             not_before_ns: self.now,
             attempts: 0,
@@ -544,10 +547,8 @@
     }
 
     fn on_report(&mut self, id: ServerId, report: Report) {
-        if let Some(server) = self.servers.get_mut(&id) {
-            server.free = report.free;
-            server.free_ns = self.now;
-        }
+        let now = self.now;
+        self.servers.entry(id).and_modify(|s| (s.free, s.free_ns) = (report.free, now));
     }
 
     fn hold_off(&mut self, id: ServerId, wait_ns: Nanos) {
@@ -629,18 +630,10 @@
         class.worth * if self.is_late(row) { class.late_worth } else { 1.0 }
     }
 
-    /// When the caller of this call first tried: a number that was given up on lately comes again.
-    fn first_try_ns(&mut self, call: &Call) -> Nanos {
-        let patience_ns = self.settings.classes[call.class].deadline_ns;
-        let first_ns = call.dialled.and_then(|number| self.unserved.remove(&number));
-        first_ns.filter(|first| self.now - first < patience_ns).unwrap_or(self.now)
-    }
-
     /// Until when a call that finds no server may be held here.
     fn patience_ns(&self, row: &Row) -> Nanos {
         let aim_ns = self.settings.classes[row.call.class].aim_ns;
-        let hold = share(aim_ns, HOLD_OF_AIM);
-        let until = row.taken_ns + if row.attempts == 0 { hold } else { aim_ns };
+        let until = row.taken_ns + if row.attempts == 0 { share(aim_ns, HOLD_OF_AIM) } else { aim_ns };
         until.min(row.deadline_ns)
     }
 
@@ -852,28 +845,21 @@
 
     /// One timer at a time: the next period's end, or sooner when a call's release or patience runs out.
     fn set_wake(&mut self, actions: &mut Vec<Action>) {
-        let mut at = (self.period + 1) * PERIOD_NS;
-        for row in self.calls.values() {
-            match row.state {
-                State::Releasing => at = at.min(row.not_before_ns),
-                State::Held => at = at.min(self.patience_ns(row)),
-                State::Out | State::Standing => {}
-            }
-        }
-        let at = at.max(self.now + 1);
+        let due = self.calls.values().filter_map(|row| match row.state {
+            State::Releasing => Some(row.not_before_ns),
+            State::Held => Some(self.patience_ns(row)),
+            State::Out | State::Standing => None,
+        });
+        let at = due.min().unwrap_or(Nanos::MAX).min((self.period + 1) * PERIOD_NS).max(self.now + 1);
         if self.wake_ns.is_none_or(|set| at < set) {
             self.wake_ns = Some(at);
             actions.push(Action::WakeAt(at));
         }
     }
 
-    /// Drawn from 0 to 1.
+    /// Drawn from 0 to 1, below 1.
     fn drawn(&mut self) -> f64 {
-        self.draw(1000) as f64 / 1000.0
-    }
-
-    fn draw(&mut self, below: usize) -> usize {
-        ((u64::from(self.rng.next_u32()) * below.max(1) as u64) >> 32) as usize
+        f64::from(self.rng.next_u32()) / (f64::from(u32::MAX) + 1.0)
     }
 }
 
