--- a/src/brain.rs
+++ b/src/brain.rs
@@ -64,8 +64,10 @@
 const LEAST_OF_NORMAL: f64 = 0.1;
 /// A call held back everywhere may wait here for this share of its aim; then it is refused.
 const HOLD_OF_AIM: f64 = 0.4;
-/// Kept back of a caller's time, as a multiple of the longest standstill of this front so far.
+/// Kept back of a caller's time, as a multiple of the longest standstill of this front of late, and what is
+/// remembered of that each period: half in 35 s, a twelfth less between standstills 4 s apart.
 const STALL_MARGIN: f64 = 1.25;
+const STALL_KEPT: f64 = 0.998;
 /// A server without any answer for so many resend gaps while set-ups are out is suspected silent.
 const SILENT_GAPS: f64 = 2.0;
 /// A suspect that let this many live calls pass unanswered may have started anew meanwhile.
@@ -226,6 +228,11 @@
         if let Some(at) = self.wake_ns.filter(|at| *at <= self.now) {
             self.wake_ns = None;
             self.stall_ns = self.stall_ns.max(self.now - at);
+            // Nothing could be heard meanwhile: that time is no evidence against any server.
+            for server in self.servers.values_mut() {
+                server.heard_ns = self.now.min(server.heard_ns + (self.now - at));
+                server.out.iter_mut().for_each(|out| out.sent_ns += self.now - at);
+            }
         }
         if self.subscribe_ns.is_some_and(|at| at <= self.now) {
             self.subscribe_ns = None;
@@ -244,6 +251,7 @@
             let patience_ns = classes.iter().map(|c| c.deadline_ns).max().unwrap_or(0);
             self.unserved.retain(|_, first| now - *first < patience_ns);
             self.busy.retain(|_, until_ns| now < *until_ns + WINDOW_NS);
+            self.stall_ns = share(self.stall_ns, STALL_KEPT.powi(passed.min(1000) as i32));
         }
         self.period = period;
         for server in self.servers.values_mut() {
@@ -734,7 +742,7 @@
     }
 
     /// What may be used of a caller's time. This front itself may stand still when the time runs out and so
-    /// answer too late: as much is kept back as its own timers were ever late, of half the time at most.
+    /// answer too late: as much is kept back as its own timers were late of late, of half the time at most.
     fn safe_budget_ns(&self, budget_ns: Nanos) -> Nanos {
         budget_ns - share(self.stall_ns, STALL_MARGIN).max(2 * self.settings.tick_ns).min(budget_ns / 2)
     }
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -446,3 +446,40 @@
         assert!((8..=30).contains(&sent), "{sent} in 3 s");
     }
 }
+
+#[test]
+fn what_a_front_missed_while_it_stood_still_is_held_against_no_server() {
+    // ar-licencias-later: fronts stand still for up to 2 s and then find all answers at once.
+    let mut front = Front::new(settings(), &[entry(11, 1)]);
+    front.steady(200 * MS, 4 * S);
+    for _ in 0..4 {
+        let (id, _) = front.call(0);
+        front.now += 2 * S;
+        front.stands(id, 0);
+        let (cheap, actions) = front.call(0);
+        assert_eq!(sent_to(&actions, cheap), Some(11), "no jam was seen");
+        front.pass(40 * MS);
+        front.stands(cheap, 0);
+        front.pass(2 * S);
+    }
+}
+
+#[test]
+fn one_long_standstill_is_forgotten_in_time() {
+    let mut front = Front::new(settings(), &[entry(11, 1)]);
+    let timeout = |actions: &[Action]| {
+        actions.iter().find_map(|a| match a {
+            Action::Send { timeout_ns, .. } => Some(*timeout_ns),
+            _ => None,
+        })
+    };
+    front.now += 2 * S;
+    front.event(Event::Wake);
+    front.pass(4 * S);
+    let (id, actions) = front.call(1);
+    assert!(timeout(&actions).is_some_and(|t| t <= 1_500 * MS), "still expected 4 s later");
+    front.stands(id, 0);
+    front.pass(180 * S);
+    let (_, actions) = front.call(1);
+    assert!(timeout(&actions).is_some_and(|t| t > 2_800 * MS), "forgotten minutes later");
+}
