A server never sent to has no estimate

Cause (fleet test): with an empty window one more set-up read as one in 3 s, far past the ceiling of a cold server at a front that normally sends it one in 3 s, so cold servers were held back until they were warm. The pace alone decides there.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -903,7 +903,8 @@
         let counted = self.0.len() as f64 + more;
         match self.0.front().map(|oldest| period - oldest) {
             Some(age) if age >= N => (counted - 1.0) * 1e9 / (age * PERIOD_NS) as f64,
-            _ => counted / window_s,
+            Some(_) => counted / window_s,
+            None => 0.0,
         }
     }
 
--- /dev/null
+++ b/tests/fleet.rs
@@ -0,0 +1,245 @@
+//! Two hundred fronts that each see little: what they send together, and how evenly.
+
+mod common;
+use common::*;
+use lilacpitch::interface::*;
+use lilacpitch::{Action, Controller, Event};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+const FRONTS: usize = 200;
+
+/// What one server does with set-ups.
+#[derive(Clone, Copy, PartialEq)]
+enum Does {
+    /// Works so many a second, in turn; past three seconds of wait it turns them away.
+    Works(f64),
+    /// Answers 'processor full' to each.
+    Full,
+    /// Answers nothing.
+    Silent,
+}
+
+struct Fleet {
+    fronts: Vec<(Controller, BTreeSet<Nanos>, BTreeMap<CallId, u32>)>,
+    now: Nanos,
+    next: CallId,
+    servers: BTreeMap<ServerId, (Does, Nanos)>,
+    /// Answers on their way: when, front, call, attempt, server and outcome (`None`: it stands).
+    due: BTreeMap<(Nanos, u64), (usize, CallId, u32, ServerId, Option<Outcome>)>,
+    sends: VecDeque<(Nanos, usize, ServerId)>,
+    stood: Vec<(Nanos, ServerId)>,
+    come_back: Vec<Nanos>,
+    serial: u64,
+}
+
+impl Fleet {
+    fn new(servers: &[(ServerId, Does)]) -> Self {
+        let mut fleet = Fleet {
+            fronts: (0..FRONTS)
+                .map(|i| (Controller::new(settings(), i as u64), BTreeSet::new(), BTreeMap::new()))
+                .collect(),
+            now: 100 * S,
+            next: 1,
+            servers: servers.iter().map(|(id, does)| (*id, (*does, 0))).collect(),
+            due: BTreeMap::new(),
+            sends: VecDeque::new(),
+            stood: Vec::new(),
+            come_back: Vec::new(),
+            serial: 0,
+        };
+        let list: Vec<Entry> = servers.iter().map(|(id, _)| entry(*id, *id as u32)).collect();
+        fleet.all(|| Event::List(News::Full(list.clone())));
+        fleet
+    }
+
+    fn all(&mut self, event: impl Fn() -> Event) {
+        for front in 0..FRONTS {
+            self.event(front, event());
+        }
+    }
+
+    fn event(&mut self, front: usize, event: Event) {
+        let mut actions = Vec::new();
+        self.fronts[front].0.handle(self.now, event, &mut actions);
+        for action in actions {
+            self.serial += 1;
+            match action {
+                Action::WakeAt(at) => {
+                    self.fronts[front].1.insert(at);
+                }
+                Action::Send { call, server, .. } => {
+                    self.sends.push_back((self.now, front, server));
+                    let attempt = self.fronts[front].2.entry(call).and_modify(|n| *n += 1).or_insert(0);
+                    let (attempt, (does, free_ns)) = (*attempt, self.servers.get_mut(&server).unwrap());
+                    let (at, outcome) = match does {
+                        Does::Silent => continue,
+                        Does::Full => (self.now, Some(Outcome::ProcessorFull(Some(2 * S)))),
+                        Does::Works(_) if *free_ns > self.now + 3 * S => {
+                            (self.now, Some(Outcome::ProcessorFull(Some(*free_ns - self.now))))
+                        }
+                        Does::Works(per_s) => {
+                            *free_ns = (*free_ns).max(self.now) + (1e9 / *per_s) as Nanos;
+                            (*free_ns, None)
+                        }
+                    };
+                    self.due.insert((at + 30 * MS, self.serial), (front, call, attempt, server, outcome));
+                }
+                // A set-up called off is worked on all the same, but nobody hears of it.
+                Action::Cancel { call, attempt } => {
+                    self.due.retain(|_, d| (d.0, d.1) != (front, call));
+                    let server = self.sends.iter().rev().find(|s| s.1 == front).map_or(1, |s| s.2);
+                    let end = (front, call, attempt, server, Some(Outcome::CalledOff));
+                    self.due.insert((self.now + 20 * MS, self.serial), end);
+                }
+                Action::Refuse { come_back_ns, .. } => self.come_back.extend(come_back_ns),
+                _ => {}
+            }
+        }
+    }
+
+    /// Runs for a while: each front gets a call every `apart`, its first choice by `choice` of the call's id.
+    fn run(&mut self, span: Nanos, apart: Nanos, choice: impl Fn(u64) -> u32) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now += 5 * MS;
+            for front in 0..FRONTS {
+                // Spread over the span by the front's number.
+                if (self.now / (5 * MS) + front as u64 * 7) % (apart / (5 * MS)) == 0 {
+                    let call = Call {
+                        id: self.next,
+                        class: usize::from(self.next % 5 == 0),
+                        first_choice: choice(self.next),
+                        budget_ns: 3 * S,
+                        dialled: None,
+                        width: 1.0,
+                        again: false,
+                        in_transit: false,
+                    };
+                    self.next += 1;
+                    self.event(front, Event::Call(call));
+                }
+                while self.fronts[front].1.first().is_some_and(|at| *at <= self.now) {
+                    self.fronts[front].1.pop_first();
+                    self.event(front, Event::Wake);
+                }
+            }
+            while self.due.first_key_value().is_some_and(|((at, _), _)| *at <= self.now) {
+                let (_, (front, call, attempt, server, outcome)) = self.due.pop_first().unwrap();
+                match outcome {
+                    None => {
+                        self.stood.push((self.now, server));
+                        self.event(front, Event::Standing { call, attempt });
+                    }
+                    Some(outcome) => {
+                        let report = Report::default();
+                        let closed = false;
+                        self.event(front, Event::Settled { call, attempt, server, outcome, closed, report });
+                    }
+                }
+            }
+        }
+    }
+
+    /// Set-ups a second that all fronts together sent to a server over the last `span`.
+    fn sent_per_s(&self, server: ServerId, span: Nanos) -> f64 {
+        let from = self.now - span;
+        self.sends.iter().filter(|(at, _, s)| *at > from && *s == server).count() as f64 * 1e9 / span as f64
+    }
+
+    fn stood_per_s(&self, server: ServerId, span: Nanos) -> f64 {
+        let from = self.now - span;
+        self.stood.iter().filter(|(at, s)| *at > from && *s == server).count() as f64 * 1e9 / span as f64
+    }
+}
+
+/// Four servers of 100 a second, 300 calls a second in all: 0.375 a second from each front to each.
+fn four() -> Fleet {
+    let mut fleet = Fleet::new(&[1, 2, 3, 4].map(|id| (id, Does::Works(100.0))));
+    fleet.run(15 * S, 670 * MS, |id| 1 + (id * 7 % 4) as u32);
+    fleet
+}
+
+#[test]
+fn together_they_use_four_servers_evenly() {
+    let fleet = four();
+    for server in 1..=4 {
+        let sent = fleet.sent_per_s(server, 5 * S);
+        assert!((60.0..=90.0).contains(&sent), "{sent} a second to {server}");
+        assert!(fleet.stood_per_s(server, 5 * S) > 60.0);
+    }
+}
+
+#[test]
+fn a_cold_server_gets_no_more_together_than_it_can_do() {
+    let mut fleet = four();
+    let gone = Entry { availability: Availability::Gone, ..entry(1, 1) };
+    fleet.all(|| Event::List(News::Changes(vec![gone])));
+    fleet.run(3 * S, 670 * MS, |id| 1 + (id * 7 % 4) as u32);
+    fleet.servers.insert(1, (Does::Works(30.0), 0));
+    let back = Entry { up_since_ns: fleet.now, ..entry(1, 1) };
+    fleet.all(|| Event::List(News::Changes(vec![back])));
+    // It can do 30 a second at first and falls over at 90; 75 a second were normal.
+    let mut most: f64 = 0.0;
+    for _ in 0..12 {
+        fleet.run(250 * MS, 670 * MS, |id| 1 + (id * 7 % 4) as u32);
+        most = most.max(fleet.sent_per_s(1, S));
+    }
+    assert!(most <= 45.0, "{most} a second at most");
+    assert!(fleet.sent_per_s(1, S) >= 8.0, "but it is used: {} a second", fleet.sent_per_s(1, S));
+    fleet.servers.insert(1, (Does::Works(100.0), 0));
+    fleet.run(25 * S, 670 * MS, |id| 1 + (id * 7 % 4) as u32);
+    assert!(fleet.stood_per_s(1, 3 * S) > 55.0, "{} warm", fleet.stood_per_s(1, 3 * S));
+}
+
+#[test]
+fn a_slowed_server_drains_and_is_used_for_what_it_can_do() {
+    let mut fleet = four();
+    fleet.servers.insert(1, (Does::Works(30.0), fleet.now));
+    fleet.run(20 * S, 670 * MS, |id| 1 + (id * 7 % 4) as u32);
+    let (sent, stood) = (fleet.sent_per_s(1, 5 * S), fleet.stood_per_s(1, 5 * S));
+    assert!(sent < 40.0, "{sent} a second sent where 30 can be done");
+    assert!(stood > 12.0, "{stood} a second stand of {sent} sent: the jam was let go");
+    fleet.servers.insert(1, (Does::Works(100.0), 0));
+    fleet.run(30 * S, 670 * MS, |id| 1 + (id * 7 % 4) as u32);
+    assert!(fleet.stood_per_s(1, 5 * S) > 55.0, "no lasting ceiling: {}", fleet.stood_per_s(1, 5 * S));
+}
+
+#[test]
+fn full_or_silent_servers_are_asked_now_and_then_only_and_come_back_into_use() {
+    for does in [Does::Full, Does::Silent] {
+        let mut fleet = four();
+        fleet.servers.insert(1, (does, 0));
+        fleet.run(20 * S, 670 * MS, |id| 1 + (id * 7 % 4) as u32);
+        let sent = fleet.sent_per_s(1, 5 * S);
+        assert!(sent < 20.0, "{sent} a second of 75 normally");
+        // Nobody's rhythm is shared: no 100 ms holds much more than the rest.
+        let mut bins = BTreeMap::new();
+        for (at, _, server) in &fleet.sends {
+            if *server == 1 && fleet.now - at < 5 * S {
+                *bins.entry(at / (100 * MS)).or_insert(0) += 1;
+            }
+        }
+        assert!(bins.values().all(|n| *n <= 12), "{bins:?}");
+        fleet.servers.insert(1, (Does::Works(100.0), 0));
+        fleet.run(40 * S, 670 * MS, |id| 1 + (id * 7 % 4) as u32);
+        let stood = fleet.stood_per_s(1, 5 * S);
+        assert!(stood > 50.0, "{stood} a second stand again");
+    }
+}
+
+#[test]
+fn when_all_are_full_refusals_spread_their_callers_over_time() {
+    let mut fleet = four();
+    for server in 1..=4 {
+        fleet.servers.insert(server, (Does::Full, 0));
+    }
+    fleet.run(10 * S, 670 * MS, |id| 1 + (id * 7 % 4) as u32);
+    let waits: BTreeSet<Nanos> = fleet.come_back.iter().map(|wait| wait / (20 * MS)).collect();
+    assert!(fleet.come_back.len() > 1000 && waits.len() >= 15, "{} waits", waits.len());
+    for server in 1..=4 {
+        fleet.servers.insert(server, (Does::Works(100.0), 0));
+    }
+    fleet.run(40 * S, 670 * MS, |id| 1 + (id * 7 % 4) as u32);
+    let stood: f64 = (1..=4).map(|server| fleet.stood_per_s(server, 5 * S)).sum();
+    assert!(stood > 250.0, "{stood} of 300 a second stand again");
+}
