Ceilings rise faster once a set-up stood at once again; trials of a suspect down to one in 8

Cause (fleet tests): after trouble a ceiling at a tenth of the normal rate took over a minute to rise.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -54,8 +54,9 @@
 const CLEAN_PERIODS: u64 = 10;
 /// A lapsing ceiling rises by this factor a period: 2 % is a fifth in a second, slower than a jam is seen.
 const LAPSE_STEP: f64 = 1.015;
-/// and by no more than this in the time between two set-ups: without new evidence it must not climb.
-const LAPSE_APART: f64 = 0.07;
+/// and by no more than this in the time between two normal set-ups: without new evidence it must not climb;
+/// by the second figure once a set-up stood at once again.
+const LAPSE_APART: (f64, f64) = (0.07, 0.35);
 /// A ceiling does not rise further over the offered and the normal rate than this: second choices of all
 /// fronts would fall on whatever is open.
 const LIFTED: f64 = 2.5;
@@ -75,7 +76,7 @@
 /// Rest of a number whose lines were all busy: as long as a caller rests who dials again.
 const BUSY_REST_NS: Nanos = WINDOW_NS / 2;
 /// The rest between live calls to a suspect begins at the normal distance there, and doubles so often.
-const TRIAL_DOUBLINGS: u32 = 4;
+const TRIAL_DOUBLINGS: u32 = 3;
 
 /// Set-ups of one kind at one server, each by its period: those of the window, or the last FEW of them.
 #[derive(Default)]
@@ -390,7 +391,9 @@
                 continue;
             };
             let apart = self.apart_ns(server) as f64 / PERIOD_NS as f64;
-            let raised = ceiling * LAPSE_STEP.min(1.0 + LAPSE_APART / apart).powi(periods as i32);
+            let again = self.quick(server) && server.heard_ns > server.symptom_ns;
+            let rise = if again { LAPSE_APART.1 } else { LAPSE_APART.0 };
+            let raised = ceiling * LAPSE_STEP.min(1.0 + rise / apart).powi(periods as i32);
             let top = LIFTED * self.per_s(&server.offered, 0.0).max(self.normal_per_s(server));
             let seen = server.sent.within(self.period) >= FEW || clean_ns > WINDOW_NS * FAR_BACK;
             let lapsed = Some(raised.min(ceiling.max(top))).filter(|_| raised < top || !seen);
