--- a/src/brain.rs
+++ b/src/brain.rs
@@ -52,11 +52,10 @@
 const GAP_OF_AIM: f64 = 0.3;
 /// Periods without a symptom before a ceiling starts to lapse.
 const CLEAN_PERIODS: u64 = 10;
-/// A lapsing ceiling rises by this factor a period: 2 % is a fifth in a second, slower than a jam is seen.
+/// A lapsing ceiling rises by this factor a period, slower than a jam is seen,
 const LAPSE_STEP: f64 = 1.015;
-/// and by no more than this in the time between two normal set-ups: without new evidence it must not climb;
-/// by the second figure once a set-up stood at once again.
-const LAPSE_APART: (f64, f64) = (0.07, 0.35);
+/// and by so much at most in the normal time between two set-ups; then once one stood at once again.
+const LAPSE_APART: (f64, f64) = (0.07, 0.2);
 /// A ceiling does not rise further over the offered and the normal rate than this: second choices of all
 /// fronts would fall on whatever is open.
 const LIFTED: f64 = 2.5;
@@ -76,7 +75,7 @@
 /// Rest of a number whose lines were all busy: as long as a caller rests who dials again.
 const BUSY_REST_NS: Nanos = WINDOW_NS / 2;
 /// The rest between live calls to a suspect begins at the normal distance there, and doubles so often.
-const TRIAL_DOUBLINGS: u32 = 3;
+const TRIAL_DOUBLINGS: u32 = 4;
 
 /// Set-ups of one kind at one server, each by its period: those of the window, or the last FEW of them.
 #[derive(Default)]
@@ -387,13 +386,11 @@
         for id in ids {
             let server = &self.servers[&id];
             let clean_ns = self.now.saturating_sub(server.symptom_ns);
-            let Some(ceiling) = server.ceiling_per_s.filter(|_| clean_ns >= CLEAN_PERIODS * PERIOD_NS) else {
-                continue;
-            };
-            let apart = self.apart_ns(server) as f64 / PERIOD_NS as f64;
+            let lapsing = server.ceiling_per_s.filter(|_| clean_ns >= CLEAN_PERIODS * PERIOD_NS);
+            let Some(ceiling) = lapsing else { continue };
             let again = self.quick(server) && server.heard_ns > server.symptom_ns;
-            let rise = if again { LAPSE_APART.1 } else { LAPSE_APART.0 };
-            let raised = ceiling * LAPSE_STEP.min(1.0 + rise / apart).powi(periods as i32);
+            let rise = if again { LAPSE_APART.1 } else { LAPSE_APART.0 } / self.apart_ns(server) as f64;
+            let raised = ceiling * LAPSE_STEP.min(1.0 + rise * PERIOD_NS as f64).powi(periods as i32);
             let top = LIFTED * self.per_s(&server.offered, 0.0).max(self.normal_per_s(server));
             let seen = server.sent.within(self.period) >= FEW || clean_ns > WINDOW_NS * FAR_BACK;
             let lapsed = Some(raised.min(ceiling.max(top))).filter(|_| raised < top || !seen);
@@ -817,11 +814,10 @@
             self.call_off(id, |out, age_ns| out.overtaken && age_ns > late_ns, actions);
             let server = &self.servers[&id];
             let Some(oldest) = server.oldest_ns() else { continue };
-            let late = self.now - oldest > late_ns;
             let silent = self.now - oldest.max(server.heard_ns) > silent_ns;
             // One set-up lost where others stood at once is no jam; the live call after it tells.
             let jam = !self.quick(server) || server.suspect.is_some_and(|s| s.trials > 0);
-            if late {
+            if self.now - oldest > late_ns {
                 self.press(id, if silent && jam { HARD_CUT } else { LEAST_CUT });
             }
             if silent {
