--- a/src/brain.rs
+++ b/src/brain.rs
@@ -20,7 +20,7 @@
 /// must not be a whole step of the estimate.
 const FEW: usize = 4;
 /// A ceiling that saw no symptom for so many windows is lifted; no rest between trials is longer.
-const FAR_BACK: u64 = 20;
+const FAR_BACK: u64 = 10;
 /// Where nothing stood yet, the normal rate is taken as so many set-ups in the time seen: less than one.
 const NONE_YET: f64 = 0.2;
 /// First threshold, of the ceiling: the paper's.
