The last delay fades slower where few set-ups were sent of late

Cause: a delay faded by half of the time passed, so a front that sends one set-up in three seconds had forgotten the jam before the next.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -20,7 +20,7 @@
 /// must not be a whole step of the estimate.
 const FEW: usize = 4;
 /// A ceiling that saw no symptom for so many windows is lifted; no rest between trials is longer.
-const FAR_BACK: u64 = 10;
+const FAR_BACK: u64 = 20;
 /// Where nothing stood yet, the normal rate is taken as so many set-ups in the time seen: less than one.
 const NONE_YET: f64 = 0.2;
 /// First threshold, of the ceiling: the paper's.
@@ -48,6 +48,8 @@
 const GROWTH_OF_TIP: f64 = 0.7;
 /// What the average behind this front's normal rate at a server keeps each period: it is halved in 14 s.
 const NORMAL_KEPT: f64 = 0.995;
+/// The last delay fades by this share of the time passed, where few were sent of late and else.
+const FADE_OF: (f64, f64) = (0.15, 0.5);
 /// Where nothing is ever resent, this share of the shortest aim stands in for the resend gap.
 const GAP_OF_AIM: f64 = 0.3;
 /// Periods without a symptom before a ceiling starts to lapse.
@@ -56,8 +58,7 @@
 const LAPSE_STEP: f64 = 1.015;
 /// and by so much at most in the normal time between two set-ups; then once one stood at once again.
 const LAPSE_APART: (f64, f64) = (0.07, 0.2);
-/// A ceiling does not rise further over the offered and the normal rate than this: second choices of all
-/// fronts would fall on whatever is open.
+/// A ceiling rises to so much of the offered or normal rate: all fronts' second choices fall on what is open.
 const LIFTED: f64 = 2.5;
 /// The lowest ceiling, as a share of this front's normal rate there: a little must pass, or nothing would be
 /// learned. A share, since whatever one front may always do is done by all of them.
@@ -293,10 +294,10 @@
     }
 
     /// What a set-up sent now would surely wait: as long as the oldest unanswered has, as long as the server
-    /// takes this front's unanswered at the rate at which they stood of late, or what is left of the last
-    /// delay when the other fronts keep half of the processor busy.
+    /// takes this front's unanswered at the rate at which they stood, or what is left of the last delay.
     fn expected_wait_ns(&self, server: &Server) -> Nanos {
-        let decayed = server.delay_ns.saturating_sub((self.now - server.heard_ns.min(self.now)) / 2);
+        let fades = if server.sent.within(self.period) < FEW { FADE_OF.0 } else { FADE_OF.1 };
+        let decayed = server.delay_ns.saturating_sub(share(self.now - server.heard_ns.min(self.now), fades));
         let Some(oldest_ns) = server.oldest_ns() else { return decayed };
         let waiting = server.out.iter().filter(|o| !o.overtaken).count();
         let stood_per_s = self.per_s(&server.stood, 0.0);
@@ -517,7 +518,7 @@
                 self.press(server, HARD_CUT);
                 let (now, wait_ns) = (self.now, wait.unwrap_or(self.gap_ns).min(WINDOW_NS));
                 self.hold_off(server, wait_ns);
-                // Gone by the end of that wait, as waits here fade by half of the time that passes.
+                // Where much is sent, waits fade by half of the time passed: this one is gone at its end.
                 self.servers.entry(server).and_modify(|s| (s.heard_ns, s.delay_ns) = (now, wait_ns / 2));
             }
             // No line free is a ceiling just as well: what stands there is the rate at which lines come free.
