--- a/src/brain.rs
+++ b/src/brain.rs
@@ -16,8 +16,7 @@
 /// Periods in the window: the paper's 3 s. Shorter windows count too few calls at a single front.
 const N: u64 = 30;
 const WINDOW_NS: Nanos = PERIOD_NS * N;
-/// Where fewer set-ups than this fell within the window, it reaches back to so many: one call more or less
-/// must not be a whole step of the estimate.
+/// The window reaches back to so many set-ups: one more or less must not be a whole step of the estimate.
 const FEW: usize = 4;
 /// A ceiling that saw no symptom for so many windows is lifted; no rest between trials is longer.
 const FAR_BACK: u64 = 20;
@@ -42,8 +41,8 @@
 const WAIT_GAPS_2: f64 = 2.0;
 /// One symptom cuts a ceiling to no less than this share of it: a count over few calls may be low by chance.
 const LEAST_CUT: f64 = 0.8;
-/// The same where the wait is far past any use: the processor full, or nothing answered for SILENT_GAPS.
-const HARD_CUT: f64 = 0.35;
+/// The same where the processor is full, or nothing answered for SILENT_GAPS: where few were sent, and else.
+const HARD_CUT: (f64, f64) = (0.35, 0.5);
 /// A cold server may get what stood there of late times this share of the multiple that pushes it over.
 const GROWTH_OF_TIP: f64 = 0.7;
 /// What the average behind this front's normal rate at a server keeps each period: it is halved in 14 s.
@@ -60,8 +59,7 @@
 const LAPSE_APART: (f64, f64) = (0.07, 0.2);
 /// A ceiling rises to so much of the offered or normal rate: all fronts' second choices fall on what is open.
 const LIFTED: f64 = 2.5;
-/// The lowest ceiling, as a share of this front's normal rate there: a little must pass, or nothing would be
-/// learned. A share, since whatever one front may always do is done by all of them.
+/// The lowest ceiling, as a share of the normal rate there: a little must pass, or nothing would be learned.
 const LEAST_OF_NORMAL: f64 = 0.1;
 /// A call held back everywhere may wait here for this share of its aim; then it is refused.
 const HOLD_OF_AIM: f64 = 0.4;
@@ -259,9 +257,8 @@
             for count in [&mut server.offered, &mut server.sent, &mut server.stood] {
                 count.slide(period);
             }
-            let warm = server.cold_share(self.now, &self.settings).is_none();
-            let usual = warm && server.suspect.is_none() && server.in_service();
-            if passed > 0 && usual {
+            let cold = server.cold_share(self.now, &self.settings).is_some();
+            if passed > 0 && !cold && server.suspect.is_none() && server.in_service() {
                 let kept = NORMAL_KEPT.powi(passed.min(1000) as i32);
                 let span_s = passed as f64 * PERIOD_NS as f64 / 1e9;
                 server.normal = (server.normal.0 * kept, server.normal.1 * kept + span_s);
@@ -360,11 +357,14 @@
 
     /// 'Processor full', a time-out, or a set-up late enough to become one: the ceiling goes to this front's
     /// recent rate there, that is to what the server answered of what was sent.
-    fn press(&mut self, id: ServerId, cut: f64) {
+    fn press(&mut self, id: ServerId, hard: bool) {
         let (now, gap_ns) = (self.now, self.gap_ns);
         let Some(server) = self.servers.get(&id) else { return };
         let (sent, stood) = (self.estimate(server, 0.0), self.per_s(&server.stood, 0.0));
         let floor = self.normal_per_s(server) * LEAST_OF_NORMAL;
+        let few = server.sent.within(self.period) < FEW;
+        let hard_cut = if few { HARD_CUT.0 } else { HARD_CUT.1 };
+        let cut = if hard { hard_cut } else { LEAST_CUT };
         let Some(server) = self.servers.get_mut(&id) else { return };
         server.symptom_ns = now;
         let deaf = now < server.deaf_until_ns;
@@ -515,7 +515,7 @@
         self.answered(server, id, alive, outcome == Outcome::Passed);
         match outcome {
             Outcome::ProcessorFull(wait) => {
-                self.press(server, HARD_CUT);
+                self.press(server, true);
                 let (now, wait_ns) = (self.now, wait.unwrap_or(self.gap_ns).min(WINDOW_NS));
                 self.hold_off(server, wait_ns);
                 // Where much is sent, waits fade by half of the time passed: this one is gone at its end.
@@ -523,11 +523,11 @@
             }
             // No line free is a ceiling just as well: what stands there is the rate at which lines come free.
             Outcome::NoCircuit => {
-                self.press(server, LEAST_CUT);
+                self.press(server, false);
                 let wait = share(self.gap_ns, 0.5 + self.drawn());
                 self.hold_off(server, wait);
             }
-            Outcome::TimedOut => self.press(server, HARD_CUT),
+            Outcome::TimedOut => self.press(server, true),
             Outcome::NoRoute => self.suspect(server),
             _ => {}
         }
@@ -598,7 +598,7 @@
             }
         }
         if delay_ns > late_ns {
-            self.press(id, LEAST_CUT);
+            self.press(id, false);
         }
     }
 
@@ -819,7 +819,7 @@
             // One set-up lost where others stood at once is no jam; the live call after it tells.
             let jam = !self.quick(server) || server.suspect.is_some_and(|s| s.trials > 0);
             if self.now - oldest > late_ns {
-                self.press(id, if silent && jam { HARD_CUT } else { LEAST_CUT });
+                self.press(id, silent && jam);
             }
             if silent {
                 self.suspect(id);
