--- a/src/brain.rs
+++ b/src/brain.rs
@@ -42,7 +42,7 @@
 /// One symptom cuts a ceiling to no less than this share of it: a count over few calls may be low by chance.
 const LEAST_CUT: f64 = 0.8;
 /// The same where the processor is full, or nothing answered for SILENT_GAPS: where few were sent, and else.
-const HARD_CUT: (f64, f64) = (0.35, 0.5);
+const HARD_CUT: (f64, f64) = (0.2, 0.5);
 /// A cold server may get what stood there of late times this share of the multiple that pushes it over.
 const GROWTH_OF_TIP: f64 = 0.7;
 /// What the average behind this front's normal rate at a server keeps each period: it is halved in 14 s.
