--- a/src/brain.rs
+++ b/src/brain.rs
@@ -42,7 +42,7 @@
 /// One symptom cuts a ceiling to no less than this share of it: a count over few calls may be low by chance.
 const LEAST_CUT: f64 = 0.8;
 /// The same where the processor is full, or nothing answered for SILENT_GAPS: where few were sent, and else.
-const HARD_CUT: (f64, f64) = (0.2, 0.5);
+const HARD_CUT: (f64, f64) = (0.35, 0.5);
 /// A cold server may get what stood there of late times this share of the multiple that pushes it over.
 const GROWTH_OF_TIP: f64 = 0.7;
 /// What the average behind this front's normal rate at a server keeps each period: it is halved in 14 s.
@@ -56,7 +56,7 @@
 /// A lapsing ceiling rises by this factor a period, slower than a jam is seen,
 const LAPSE_STEP: f64 = 1.015;
 /// and by so much at most in the normal time between two set-ups; then once one stood at once again.
-const LAPSE_APART: (f64, f64) = (0.07, 0.2);
+const LAPSE_APART: (f64, f64) = (0.04, 0.2);
 /// A ceiling rises to so much of the offered or normal rate: all fronts' second choices fall on what is open.
 const LIFTED: f64 = 2.5;
 /// The lowest ceiling, as a share of the normal rate there: a little must pass, or nothing would be learned.
