--- a/src/brain.rs
+++ b/src/brain.rs
@@ -56,7 +56,7 @@
 /// A lapsing ceiling rises by this factor a period, slower than a jam is seen,
 const LAPSE_STEP: f64 = 1.015;
 /// and by so much at most in the normal time between two set-ups; then once one stood at once again.
-const LAPSE_APART: (f64, f64) = (0.04, 0.2);
+const LAPSE_APART: (f64, f64) = (0.07, 0.2);
 /// A ceiling rises to so much of the offered or normal rate: all fronts' second choices fall on what is open.
 const LIFTED: f64 = 2.5;
 /// The lowest ceiling, as a share of the normal rate there: a little must pass, or nothing would be learned.
