--- a/src/brain.rs
+++ b/src/brain.rs
@@ -20,8 +20,8 @@
 const FEW: usize = 4;
 /// A ceiling that saw no symptom for so many windows is lifted; no rest between trials is longer.
 const FAR_BACK: u64 = 20;
-/// Where nothing stood yet, the normal rate is taken as so many set-ups in the time seen: less than one.
-const NONE_YET: f64 = 0.2;
+/// Where nothing stood yet, the normal rate is so many set-ups in the time seen, at least so many seconds.
+const NONE_YET: (f64, f64) = (0.2, 10.0);
 /// First threshold, of the ceiling: the paper's.
 const S1: f64 = 0.8;
 /// Second threshold, of the ceiling: the paper's.
@@ -414,7 +414,7 @@
     fn normal_per_s(&self, server: &Server) -> f64 {
         let rate = |s: &Server| s.normal.0 / s.normal.1.max(1.0);
         if server.normal.1 > 0.0 {
-            return rate(server).max(NONE_YET / server.normal.1.max(1.0));
+            return rate(server).max(NONE_YET.0 / server.normal.1.max(NONE_YET.1));
         }
         let others = self.servers.values().map(rate).sum::<f64>() / self.servers.len().max(2) as f64;
         self.per_s(&server.offered, 0.0).min(others)
