--- /dev/null
+++ b/crates/lilacpitch/benches/event_cost.rs
@@ -0,0 +1,136 @@
+//! What one event costs the decision module as calls stand: the curve from 40 to 100,000 standing calls.
+
+use criterion::{criterion_group, criterion_main, BenchmarkId, Criterion, Throughput};
+use lilacpitch::interface::*;
+use lilacpitch::{Action, Controller, Event, Settings};
+use std::collections::VecDeque;
+
+const S: Nanos = 1_000_000_000;
+const SERVERS: u64 = 10;
+const ANSWER_NS: Nanos = 20_000_000;
+
+fn settings() -> Settings {
+    let class = Class {
+        aim_ns: 2 * S,
+        deadline_ns: 9 * S,
+        worth: 1.0,
+        late_worth: 0.25,
+        repeat: Repeat::Safe,
+        memory_ns: 0,
+        pools: vec![],
+    };
+    Settings {
+        classes: vec![class],
+        home: None,
+        resend_ns: S / 2,
+        release_ns: 3 * S / 10,
+        max_attempts: 6,
+        may_cancel: true,
+        max_come_back_ns: 2 * S,
+        list_on_request: false,
+        cold_from: 0.3,
+        cold_ns: 10 * S,
+        tip_multiple: 3.0,
+        tick_ns: 5_000_000,
+    }
+}
+
+/// A front in a steady state: each call is answered 20 ms after its set-up and ends when as many stand as wanted.
+struct Steady {
+    brain: Controller,
+    now: Nanos,
+    gap_ns: Nanos,
+    next: CallId,
+    wake_ns: Nanos,
+    out: VecDeque<(Nanos, CallId, ServerId)>,
+    standing: VecDeque<(CallId, ServerId)>,
+    hold: usize,
+    actions: Vec<Action>,
+}
+
+impl Steady {
+    fn new(per_s: u64, hold: usize) -> Self {
+        let mut steady = Steady {
+            brain: Controller::new(settings(), 5),
+            now: 100 * S,
+            gap_ns: S / per_s,
+            next: 1,
+            wake_ns: Nanos::MAX,
+            out: VecDeque::new(),
+            standing: VecDeque::new(),
+            hold,
+            actions: Vec::new(),
+        };
+        let entry = |server: u64| Entry {
+            server,
+            number: server as u32,
+            zone: 0,
+            availability: Availability::Ready,
+            up_since_ns: 0,
+        };
+        steady.event(Event::List(News::Full((0..SERVERS).map(entry).collect())));
+        while steady.standing.len() < hold {
+            steady.call();
+        }
+        steady
+    }
+
+    fn event(&mut self, event: Event) {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.brain.handle(self.now, event, &mut actions);
+        for action in actions.drain(..) {
+            match action {
+                Action::Send { call, server, .. } => self.out.push_back((self.now + ANSWER_NS, call, server)),
+                Action::WakeAt(at) => self.wake_ns = at,
+                other => panic!("a steady front has no cause for {other:?}"),
+            }
+        }
+        self.actions = actions;
+    }
+
+    /// One call in, and what falls due until the next one: an answer, an end, a wake now and then.
+    fn call(&mut self) {
+        self.now += self.gap_ns;
+        if self.wake_ns <= self.now {
+            self.wake_ns = Nanos::MAX;
+            self.event(Event::Wake);
+        }
+        while let Some((at, call, server)) = self.out.front().copied().filter(|o| o.0 <= self.now) {
+            debug_assert!(at <= self.now);
+            self.out.pop_front();
+            self.event(Event::Standing { call, attempt: 0 });
+            self.standing.push_back((call, server));
+        }
+        while self.standing.len() > self.hold {
+            let Some((call, server)) = self.standing.pop_front() else { break };
+            let (outcome, report) = (Outcome::Passed, Report::default());
+            self.event(Event::Settled { call, attempt: 0, server, outcome, closed: true, report });
+        }
+        let id = self.next;
+        self.next += 1;
+        self.event(Event::Call(Call {
+            id,
+            class: 0,
+            first_choice: (id % SERVERS) as u32,
+            budget_ns: 3 * S,
+            dialled: None,
+            width: 1.0,
+            again: false,
+            in_transit: false,
+        }));
+    }
+}
+
+fn curve(c: &mut Criterion) {
+    let mut group = c.benchmark_group("one_call_at_10000_per_s");
+    group.sample_size(20);
+    for standing in [40, 400, 4_000, 40_000, 100_000] {
+        let mut steady = Steady::new(10_000, standing);
+        group.throughput(Throughput::Elements(1));
+        group.bench_function(BenchmarkId::from_parameter(standing), |b| b.iter(|| steady.call()));
+    }
+    group.finish();
+}
+
+criterion_group!(benches, curve);
+criterion_main!(benches);
--- a/src/brain.rs
+++ b/crates/lilacpitch/src/brain.rs
@@ -9,7 +9,7 @@
 use crate::interface::*;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Period of the counts: the paper's.
 const PERIOD_NS: Nanos = 100_000_000;
@@ -140,11 +140,16 @@
     not_before_ns: Nanos,
     attempts: u32,
     server: ServerId,
+    /// Its place among the waiting, while it is held or releasing.
+    due_ns: Option<Nanos>,
     calling_off: bool,
     /// The first attempt that may have run: its server's zone and number, and when it was sent.
     may_have_run: Option<(u32, u32, Nanos)>,
 }
 
+/// What the pick goes by in a call: class, first choice, width, flags, and the attempt that may have run.
+type Likeness = (usize, u32, u64, [bool; 4], Option<(u32, u32, Nanos)>);
+
 /// The decisions of one front. Same settings, seed and events give the same actions.
 pub struct Controller {
     settings: Settings,
@@ -154,6 +159,8 @@
     period: u64,
     servers: BTreeMap<ServerId, Server>,
     calls: BTreeMap<CallId, Row>,
+    /// Calls held or releasing, by when their patience or release ends: no event's cost depends on what stands.
+    waiting: BTreeSet<(Nanos, CallId)>,
     /// Numbers dialled that were given no server, and when they were first tried.
     unserved: BTreeMap<u64, Nanos>,
     /// Numbers whose lines were all busy, and until when they rest.
@@ -178,6 +185,7 @@
             period: 0,
             servers: BTreeMap::new(),
             calls: BTreeMap::new(),
+            waiting: BTreeSet::new(),
             unserved: BTreeMap::new(),
             busy: BTreeMap::new(),
             top_worth,
@@ -293,7 +301,7 @@
     /// What a set-up sent now would surely wait: as long as the oldest unanswered has, as long as the server
     /// takes this front's unanswered at the rate at which they stood, or what is left of the last delay.
     fn expected_wait_ns(&self, server: &Server) -> Nanos {
-        let fades = if server.sent.within(self.period) < FEW { FADE_OF.0 } else { FADE_OF.1 };
+        let fades = if server.sent.few(self.period) { FADE_OF.0 } else { FADE_OF.1 };
         let decayed = server.delay_ns.saturating_sub(share(self.now - server.heard_ns.min(self.now), fades));
         let Some(oldest_ns) = server.oldest_ns() else { return decayed };
         let waiting = server.out.iter().filter(|o| !o.overtaken).count();
@@ -334,19 +342,19 @@
     }
 
     /// The pool pick among the servers that the rules and the tiers leave: the first choice, else the one of
-    /// two drawn with fewer of this front's set-ups unanswered.
+    /// two drawn with fewer of this front's set-ups unanswered. Where several servers share the first choice's
+    /// number the two are drawn among those.
     fn pick(&mut self, id: CallId) -> Option<ServerId> {
         let row = self.calls.get(&id)?;
-        let mut open = Vec::new();
+        let (mut first, mut open) = (Vec::new(), Vec::new());
         for server in self.servers.values() {
             if !self.may_send(row, server) || self.holds_back(server, row) {
                 continue;
             }
-            if server.entry.number == row.call.first_choice {
-                return Some(server.entry.server);
-            }
-            open.push((server.out.len(), self.expected_wait_ns(server), server.entry.server));
+            let to = if server.entry.number == row.call.first_choice { &mut first } else { &mut open };
+            to.push((server.out.len(), self.expected_wait_ns(server), server.entry.server));
         }
+        let open = if first.is_empty() { open } else { first };
         if open.len() < 2 {
             return open.first().map(|(_, _, server)| *server);
         }
@@ -362,7 +370,7 @@
         let Some(server) = self.servers.get(&id) else { return };
         let (sent, stood) = (self.estimate(server, 0.0), self.per_s(&server.stood, 0.0));
         let floor = self.normal_per_s(server) * LEAST_OF_NORMAL;
-        let few = server.sent.within(self.period) < FEW;
+        let few = server.sent.few(self.period);
         let hard_cut = if few { HARD_CUT.0 } else { HARD_CUT.1 };
         let cut = if hard { hard_cut } else { LEAST_CUT };
         let Some(server) = self.servers.get_mut(&id) else { return };
@@ -393,7 +401,7 @@
             let rise = if again { LAPSE_APART.1 } else { LAPSE_APART.0 } / self.apart_ns(server) as f64;
             let raised = ceiling * LAPSE_STEP.min(1.0 + rise * PERIOD_NS as f64).powi(periods as i32);
             let top = LIFTED * self.per_s(&server.offered, 0.0).max(self.normal_per_s(server));
-            let seen = server.sent.within(self.period) >= FEW || clean_ns > WINDOW_NS * FAR_BACK;
+            let seen = !server.sent.few(self.period) || clean_ns > WINDOW_NS * FAR_BACK;
             let lapsed = Some(raised.min(ceiling.max(top))).filter(|_| raised < top || !seen);
             self.servers.entry(id).and_modify(|s| s.ceiling_per_s = lapsed);
         }
@@ -479,6 +487,7 @@
             not_before_ns: self.now,
             attempts: 0,
             server: 0,
+            due_ns: None,
             calling_off: false,
             may_have_run: None,
         };
@@ -615,9 +624,34 @@
             self.send(id, server, actions);
         } else if self.calls.get(&id).is_some_and(|row| self.hopeless(row)) {
             self.give_up(id, actions);
+        } else {
+            self.queue(id);
+        }
+    }
+
+    /// Keeps a call's place among the waiting in step with its state.
+    fn queue(&mut self, id: CallId) {
+        let Some(row) = self.calls.get(&id) else { return };
+        let due_ns = match row.state {
+            State::Releasing => Some(row.not_before_ns),
+            State::Held => Some(self.patience_ns(row)),
+            State::Out | State::Standing => None,
+        };
+        if due_ns != row.due_ns {
+            let before = row.due_ns.map(|due| (due, id));
+            before.map(|place| self.waiting.remove(&place));
+            self.waiting.extend(due_ns.map(|due| (due, id)));
+            self.calls.entry(id).and_modify(|row| row.due_ns = due_ns);
         }
     }
 
+    /// Takes a call out of the table, and out of the waiting.
+    fn take(&mut self, id: CallId) -> Option<Row> {
+        let row = self.calls.remove(&id)?;
+        row.due_ns.map(|due| self.waiting.remove(&(due, id)));
+        Some(row)
+    }
+
     /// Whether nothing more can come of a call: then it gets its answer at once.
     fn hopeless(&self, row: &Row) -> bool {
         let unsafe_again = self.settings.classes[row.call.class].repeat == Repeat::Unsafe;
@@ -670,12 +704,13 @@
                 suspect.trials += 1;
             }
         }
+        self.queue(id);
         actions.push(Action::Send { call: id, server, timeout_ns });
     }
 
     /// The final answer, at once. Refused where the rules allow it, else failed.
     fn give_up(&mut self, id: CallId, actions: &mut Vec<Action>) {
-        let Some(row) = self.calls.remove(&id) else { return };
+        let Some(row) = self.take(id) else { return };
         // Many callers dial a number that is busy: the next one is hardly this one again.
         let number = row.call.dialled.filter(|number| !self.busy.contains_key(number));
         self.unserved.extend(number.map(|number| (number, row.first_ns)));
@@ -694,7 +729,7 @@
     }
 
     fn forget(&mut self, id: CallId) {
-        if let Some(row) = self.calls.remove(&id) {
+        if let Some(row) = self.take(id) {
             if let Some(server) = self.servers.get_mut(&row.server) {
                 server.out.retain(|o| o.call != id);
             }
@@ -767,7 +802,7 @@
     fn cold_ceiling(&self, server: &Server) -> Option<f64> {
         let known = self.normal_per_s(server) * server.cold_share(self.now, &self.settings)?;
         let growth = (self.settings.tip_multiple * GROWTH_OF_TIP).max(1.0);
-        let proven = Some(self.per_s(&server.stood, 0.0)).filter(|_| server.stood.within(self.period) >= FEW);
+        let proven = Some(self.per_s(&server.stood, 0.0)).filter(|_| !server.stood.few(self.period));
         Some(proven.map_or(known, |rate| known.max(rate * growth)))
     }
 
@@ -831,8 +866,11 @@
     fn call_off(&mut self, id: ServerId, lost: impl Fn(&Unanswered, Nanos) -> bool, to: &mut Vec<Action>) {
         let Some(server) = self.servers.get(&id).filter(|_| self.settings.may_cancel) else { return };
         for out in &server.out {
+            if !lost(out, self.now - out.sent_ns) {
+                continue;
+            }
             let Some(row) = self.calls.get_mut(&out.call) else { continue };
-            let due = lost(out, self.now - out.sent_ns) && !row.calling_off && row.state == State::Out;
+            let due = !row.calling_off && row.state == State::Out;
             if due && row.attempts < self.settings.max_attempts {
                 row.calling_off = true;
                 to.push(Action::Cancel { call: out.call, attempt: row.attempts - 1 });
@@ -842,23 +880,47 @@
 
     /// Held and released calls are tried again whenever anything happens: dearest first, then oldest.
     fn look_at_calls(&mut self, actions: &mut Vec<Action>) {
-        let held = self.calls.iter().filter(|(_, row)| matches!(row.state, State::Held | State::Releasing));
-        let key = |(id, row): (&CallId, &Row)| (-(self.worth(row) * 1000.0) as i64, row.taken_ns, *id);
-        let mut waiting: Vec<_> = held.map(key).collect();
+        debug_assert!(self.calls.iter().all(|(id, row)| {
+            let waits = matches!(row.state, State::Held | State::Releasing);
+            waits == row.due_ns.is_some_and(|due| self.waiting.contains(&(due, *id)))
+        }));
+        let rows = self.waiting.iter().filter_map(|(_, id)| Some((*id, self.calls.get(id)?)));
+        let key = |(id, row): (CallId, &Row)| (-(self.worth(row) * 1000.0) as i64, row.taken_ns, id);
+        let mut waiting: Vec<_> = rows.map(key).collect();
         waiting.sort_unstable();
+        // Calls alike find no server alike, until the next send: one of them is asked for all.
+        let mut none: Vec<Likeness> = Vec::new();
         for (_, _, id) in waiting {
+            let alike = self.calls.get(&id).and_then(|row| self.likeness(row));
+            if alike.as_ref().is_some_and(|alike| none.contains(alike)) && !self.number_rests(id) {
+                if self.calls.get(&id).is_some_and(|row| self.hopeless(row)) {
+                    self.give_up(id, actions);
+                }
+                continue;
+            }
+            let before = actions.len();
             self.place(id, actions);
+            if actions[before..].iter().any(|action| matches!(action, Action::Send { .. })) {
+                none.clear();
+            } else if self.calls.contains_key(&id) {
+                none.extend(alike);
+            }
         }
     }
 
+    /// All that the pick goes by in a call that may be sent at present.
+    fn likeness(&self, row: &Row) -> Option<Likeness> {
+        let (call, ran) = (row.call, row.may_have_run);
+        let free = row.state == State::Held && self.now >= row.not_before_ns && self.now < row.deadline_ns;
+        let flags =
+            [call.again, call.in_transit, self.is_late(row), row.attempts >= self.settings.max_attempts];
+        free.then(|| (call.class, call.first_choice, call.width.to_bits(), flags, ran))
+    }
+
     /// One timer at a time: the next period's end, or sooner when a call's release or patience runs out.
     fn set_wake(&mut self, actions: &mut Vec<Action>) {
-        let due = self.calls.values().filter_map(|row| match row.state {
-            State::Releasing => Some(row.not_before_ns),
-            State::Held => Some(self.patience_ns(row)),
-            State::Out | State::Standing => None,
-        });
-        let at = due.min().unwrap_or(Nanos::MAX).min((self.period + 1) * PERIOD_NS).max(self.now + 1);
+        let due_ns = self.waiting.first().map_or(Nanos::MAX, |(due, _)| *due);
+        let at = due_ns.min((self.period + 1) * PERIOD_NS).max(self.now + 1);
         if self.wake_ns.is_none_or(|set| at < set) {
             self.wake_ns = Some(at);
             actions.push(Action::WakeAt(at));
@@ -908,8 +970,9 @@
         }
     }
 
-    fn within(&self, period: u64) -> usize {
-        self.0.iter().rev().take_while(|at| period - **at < N).count()
+    /// Whether the window itself holds less than the last few.
+    fn few(&self, period: u64) -> bool {
+        self.0.len().checked_sub(FEW).is_none_or(|at| period - self.0[at] >= N)
     }
 }
 
