The edge program: a front without I/O, and a tokio shell around it

Change: crates/lilacpitch-edge. front owns callers, calls, attempts, links, timers and the module, does no I/O and is handed time and randomness; net is the driver task, a task a connection, bounded queues, the pool list as a file and a metrics page; lilacpitch-edge run, check, schema. A lost connection ends each attempt by what left of it: never sent, may have run, cut. Set-ups queued for a server that drains are withdrawn, late answers are released at their server, and a caller that does not read is cut off.

--- a/crates/lilacpitch-config/src/error.rs
+++ b/crates/lilacpitch-config/src/error.rs
@@ -17,7 +17,10 @@
 
 /// Everything wrong in one file. Prints as one line a problem; `miette` draws it with the source.
 #[derive(Debug)]
-pub struct ConfigError {
+pub struct ConfigError(Box<Inner>);
+
+#[derive(Debug)]
+struct Inner {
     name: String,
     source: NamedSource<String>,
     lines: Vec<String>,
@@ -38,28 +41,30 @@
             let (from, to) = (p.span.start.min(text.len()), p.span.end.min(text.len()));
             LabeledSpan::new(Some(p.what.clone()), from, to.saturating_sub(from))
         });
-        ConfigError {
+        ConfigError(Box::new(Inner {
             name: name.into(),
             lines: lines.collect(),
             labels: labels.collect(),
             source: NamedSource::new(name, text.to_string()),
             problems,
-        }
+        }))
     }
 
     pub(crate) fn unread(name: &str, what: &str) -> Self {
         let problem = Problem { path: String::new(), what: what.into(), span: Span::default() };
-        ConfigError { lines: vec![format!("{name}: {what}")], ..Self::new(name, "", vec![problem]) }
+        let mut error = Self::new(name, "", vec![problem]);
+        error.0.lines = vec![format!("{name}: {what}")];
+        error
     }
 
     /// What is wrong, one by one.
     pub fn problems(&self) -> &[Problem] {
-        &self.problems
+        &self.0.problems
     }
 
     /// The file.
     pub fn file(&self) -> &str {
-        &self.name
+        &self.0.name
     }
 
     /// The problems with the source lines and carets, for people.
@@ -76,7 +81,7 @@
 
 impl fmt::Display for ConfigError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}", self.lines.join("\n"))
+        write!(f, "{}", self.0.lines.join("\n"))
     }
 }
 
@@ -84,10 +89,10 @@
 
 impl Diagnostic for ConfigError {
     fn source_code(&self) -> Option<&dyn SourceCode> {
-        Some(&self.source)
+        Some(&self.0.source)
     }
 
     fn labels(&self) -> Option<Box<dyn Iterator<Item = LabeledSpan> + '_>> {
-        Some(Box::new(self.labels.iter().cloned()))
+        Some(Box::new(self.0.labels.iter().cloned()))
     }
 }
--- /dev/null
+++ b/crates/lilacpitch-edge/src/cli.rs
@@ -0,0 +1,148 @@
+//! The command line of `lilacpitch-edge`.
+
+use crate::front::Guards;
+use crate::net;
+use clap::{Parser, Subcommand};
+use lilacpitch_config::{ConfigError, Edge, LogFormat, Pools, EDGE_SCHEMA};
+use std::ffi::OsString;
+use std::io::Write;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use tokio::signal::unix::{signal, SignalKind};
+use tracing_subscriber::EnvFilter;
+
+/// Carries calls between callers and signalling servers.
+#[derive(Debug, Parser)]
+#[command(name = "lilacpitch-edge", version)]
+struct Args {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Run a front until SIGTERM or SIGINT. Prints one line once it listens:
+    /// {"callers":"ADDRESS","metrics":"ADDRESS"}.
+    Run {
+        /// The settings file.
+        #[arg(long, value_name = "FILE")]
+        config: PathBuf,
+    },
+    /// Read the settings and the pool list as a start would, and say what is wrong.
+    Check {
+        /// The settings file.
+        #[arg(long, value_name = "FILE")]
+        config: PathBuf,
+    },
+    /// Print the schema of settings and pool lists, with comments and defaults.
+    Schema,
+}
+
+/// Runs the program. Exit codes: 0 done, 1 could not run, 2 wrong arguments or settings.
+pub fn main(args: impl IntoIterator<Item = OsString>) -> ExitCode {
+    let args = match Args::try_parse_from(args) {
+        Ok(args) => args,
+        Err(error) => {
+            let code = if error.use_stderr() { 2 } else { 0 };
+            // Nowhere to say that saying it failed.
+            let _ = error.print();
+            return ExitCode::from(code);
+        }
+    };
+    let done = match args.command {
+        Command::Run { config } => return run(&config),
+        Command::Check { config } => check(&config).map(|said| say(&said)),
+        Command::Schema => {
+            say(EDGE_SCHEMA.trim_end());
+            Ok(())
+        }
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{}", error.drawn());
+            eprintln!("{error}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn say(line: &str) {
+    // Whoever reads may have gone: no reason to fail.
+    let mut out = std::io::stdout().lock();
+    let _ = writeln!(out, "{line}").and_then(|()| out.flush());
+}
+
+fn check(config: &Path) -> Result<String, ConfigError> {
+    let edge = Edge::load(config)?.value;
+    let pools = Pools::load(Path::new(&edge.pool_list))?;
+    for (index, class) in edge.classes.iter().enumerate() {
+        for (at, pool) in class.pools.iter().enumerate() {
+            if !pools.value.servers.iter().any(|s| s.pool == *pool) {
+                // Not wrong yet, a pool may be listed later: but hardly meant.
+                eprintln!(
+                    "{}: classes[{index}].pools[{at}]: no server of pool {pool:?} is listed",
+                    config.display()
+                );
+            }
+        }
+    }
+    let (classes, servers) = (edge.classes.len(), pools.value.servers.len());
+    Ok(format!("{}: {classes} classes, {servers} servers, no mistakes", config.display()))
+}
+
+fn run(config: &Path) -> ExitCode {
+    let settings = match Edge::load(config) {
+        Ok(loaded) => loaded.value,
+        Err(error) => {
+            eprintln!("{}", error.drawn());
+            eprintln!("{error}");
+            return ExitCode::from(2);
+        }
+    };
+    let filter = EnvFilter::try_new(&settings.log.level).unwrap_or_default();
+    let log = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).with_ansi(false);
+    let set = match settings.log.format {
+        LogFormat::Text => log.try_init(),
+        LogFormat::Json => log.json().try_init(),
+    };
+    if let Err(error) = set {
+        eprintln!("lilacpitch-edge: logging: {error}");
+    }
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("lilacpitch-edge: no runtime: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let ready = |ready: net::Ready| {
+        let metrics = ready.metrics.map(|m| format!(",\"metrics\":\"{m}\"")).unwrap_or_default();
+        say(&format!("{{\"callers\":\"{}\"{metrics}}}", ready.callers));
+    };
+    let local = tokio::task::LocalSet::new();
+    let ran = local.block_on(&runtime, async {
+        let machine = |e: std::io::Error| net::RunError::Machine(format!("signals: {e}"));
+        let mut term = signal(SignalKind::terminate()).map_err(machine)?;
+        let mut int = signal(SignalKind::interrupt()).map_err(machine)?;
+        let stop = async {
+            tokio::select! {
+                _ = term.recv() => {}
+                _ = int.recv() => {}
+            }
+        };
+        net::run(settings, Guards::default(), ready, stop).await
+    });
+    match ran {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(net::RunError::PoolList(error)) => {
+            eprintln!("{}", error.drawn());
+            eprintln!("{error}");
+            ExitCode::from(2)
+        }
+        Err(error) => {
+            eprintln!("lilacpitch-edge: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/lilacpitch-edge/src/front/pools.rs
@@ -0,0 +1,121 @@
+//! Following the pool list: names to ids, what changed, and what that ends.
+
+use super::links::ServerRow;
+use super::{Effect, Front};
+use lilacpitch::interface::{Availability, Entry, Nanos, News, Outcome, Report, ServerId};
+use lilacpitch::Event;
+use lilacpitch_config::{Pools, Server, ServerState};
+use std::collections::BTreeSet;
+
+/// A server as the front has it, for who asks.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ListedServer {
+    /// Its name.
+    pub name: String,
+    /// Whether it may be used.
+    pub availability: Availability,
+    /// Whether a connection to it is ready.
+    pub connected: bool,
+    /// Set-ups out and calls standing there.
+    pub attempts: usize,
+}
+
+impl Front {
+    /// The servers that the front knows.
+    pub fn servers(&self) -> impl Iterator<Item = ListedServer> + '_ {
+        self.servers.rows.values().map(|row| ListedServer {
+            name: row.name.clone(),
+            availability: row.entry.availability,
+            connected: row.up().is_some(),
+            attempts: row.attempts.len(),
+        })
+    }
+
+    /// Counts a pool list that could not be read; the one in hand stays in force.
+    pub fn pool_list_refused(&mut self) {
+        self.counters.pool_list_refused += 1;
+    }
+
+    pub(super) fn on_pool_list(&mut self, pools: &Pools, effects: &mut Vec<Effect>) {
+        self.counters.pool_lists_taken += 1;
+        let mut listed = BTreeSet::new();
+        let mut entries = Vec::new();
+        for server in &pools.servers {
+            let id = self.listed(server, effects);
+            listed.insert(id);
+            entries.extend(self.servers.rows.get(&id).map(|row| row.entry));
+        }
+        for (id, row) in &mut self.servers.rows {
+            if !listed.contains(id) {
+                row.entry.availability = Availability::Gone;
+            }
+        }
+        let ids: Vec<ServerId> = self.servers.rows.keys().copied().collect();
+        for id in ids {
+            self.withdraw_queued(id, effects);
+            if self.servers.in_service(id) && self.servers.rows.get(&id).is_some_and(ServerRow::untried) {
+                self.connect(id, effects);
+            }
+            self.let_go(id, effects);
+        }
+        if !self.guards.drains {
+            for entry in entries.iter_mut().filter(|e| e.availability == Availability::Draining) {
+                entry.availability = Availability::Ready;
+            }
+        }
+        tracing::info!(servers = entries.len(), "pool list taken");
+        entries.retain(|e| e.availability != Availability::Gone);
+        self.follow.push_back(Event::List(News::Full(entries)));
+    }
+
+    /// Enters a listed server, or what has changed of it.
+    fn listed(&mut self, server: &Server, effects: &mut Vec<Effect>) -> ServerId {
+        let number = self.site.pool_listed(&server.pool);
+        let zone = self.site.zone_listed(&server.zone);
+        let availability = match server.state {
+            ServerState::Running => Availability::Ready,
+            ServerState::Draining => Availability::Draining,
+            ServerState::Gone => Availability::Gone,
+        };
+        let id = self.servers.id_of(&server.name);
+        let row = self.servers.rows.get(&id);
+        // A start that the list puts into the future is one of just now: its clock or ours is off.
+        let up_since_ns = match row.filter(|row| row.started_ms == server.started_ms) {
+            Some(row) => row.entry.up_since_ns,
+            None => server.started_ms.saturating_mul(1_000_000).min(self.now),
+        };
+        let entry = Entry { server: id, number, zone, availability, up_since_ns };
+        let moved = row.is_some_and(|row| row.address != server.address);
+        match self.servers.rows.get_mut(&id) {
+            Some(row) => {
+                (row.entry, row.started_ms, row.address) = (entry, server.started_ms, server.address);
+            }
+            None => {
+                let row = ServerRow::new(server.name.clone(), server.address, entry, server.started_ms);
+                self.servers.rows.insert(id, row);
+            }
+        }
+        if moved {
+            tracing::info!(server = server.name, address = %server.address, "server has moved");
+            self.drop_link(id, effects);
+        }
+        id
+    }
+
+    /// Set-ups that wait for a connection to a server that now drains are not sent after all: a drain binds
+    /// what is queued as well as what the module decides.
+    fn withdraw_queued(&mut self, id: ServerId, effects: &mut Vec<Effect>) {
+        if self.servers.in_service(id) || !self.guards.drains {
+            return;
+        }
+        for attempt in self.servers.queued(id) {
+            self.end_attempt(attempt, Outcome::NotSent, Report::default(), effects);
+        }
+    }
+
+    /// How long a set-up may wait in a connection's queue: half of the grace after a drain, so that none leaves
+    /// past it though it was queued just before.
+    pub(super) fn set_up_not_after(&self) -> Nanos {
+        self.now + self.settings.rules.drain_grace_ns / 2
+    }
+}
--- /dev/null
+++ b/crates/lilacpitch-edge/src/net/driver.rs
@@ -0,0 +1,351 @@
+//! The driver: the one task that owns the front, and the tasks of connections around it.
+
+use super::pump::{read_head, Heard, Outgoing, Pump};
+use super::{metrics, pool_file, Clock};
+use crate::front::{CallerId, Effect, Front, Guards, Input, LinkId};
+use lilacpitch_config::{ConfigError, Edge, Pools};
+use lilacpitch_protocol::frame::Role;
+use lilacpitch_protocol::{handshake, http};
+use rand::rngs::StdRng;
+use rand::{RngCore, SeedableRng};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+use thiserror::Error;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::AbortHandle;
+
+/// Inputs that may wait for the driver; what brings them is read no further meanwhile.
+const NEWS_QUEUE: usize = 4096;
+/// Inputs taken in one round.
+const ROUND: usize = 256;
+/// How long a caller may take over its handshake.
+const HANDSHAKE: Duration = Duration::from_secs(5);
+
+/// Why a front could not start.
+#[derive(Debug, Error)]
+pub enum RunError {
+    /// An address could not be listened on.
+    #[error("listening on {0}: {1}")]
+    Listen(SocketAddr, std::io::Error),
+    /// The pool list can't be read.
+    #[error("{0}")]
+    PoolList(#[from] ConfigError),
+    /// The file of the pool list can't be looked at.
+    #[error("{0}: {1}")]
+    PoolFile(String, std::io::Error),
+    /// The machine gave no signal handler or no randomness.
+    #[error("{0}")]
+    Machine(String),
+}
+
+/// Where a front that has started can be reached.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Ready {
+    /// Callers.
+    pub callers: SocketAddr,
+    /// Metrics.
+    pub metrics: Option<SocketAddr>,
+}
+
+/// What comes to the driver.
+pub(super) enum News {
+    Input(Input),
+    PoolList(Pools),
+    PoolListRefused(String),
+    Metrics(oneshot::Sender<String>),
+}
+
+/// A connection's queue and its task.
+struct Peer {
+    out: mpsc::Sender<Outgoing>,
+    task: AbortHandle,
+}
+
+struct Driver {
+    front: Front,
+    clock: Clock,
+    rng: StdRng,
+    settings: Edge,
+    news: mpsc::Sender<News>,
+    callers: BTreeMap<CallerId, Peer>,
+    links: BTreeMap<LinkId, Peer>,
+    next_caller: CallerId,
+    effects: Vec<Effect>,
+    stopped: bool,
+}
+
+/// Runs a front until it has stopped, by SIGTERM, SIGINT or `stop`. Must run within a `LocalSet`.
+pub async fn run(
+    settings: Edge,
+    guards: Guards,
+    ready: impl FnOnce(Ready),
+    stop: impl std::future::Future<Output = ()>,
+) -> Result<(), RunError> {
+    let listener = listen(settings.listen).await?;
+    let callers = listener.local_addr().map_err(|e| RunError::Listen(settings.listen, e))?;
+    let (news, mut inbox) = mpsc::channel(NEWS_QUEUE);
+    let list = settings.pool_list.clone();
+    let seen = pool_file::state(&list).map_err(|e| RunError::PoolFile(list.clone(), e))?;
+    let pools = Pools::load(Path::new(&list))?.value;
+    let metrics = match settings.metrics {
+        None => None,
+        Some(address) => {
+            let listener = listen(address).await?;
+            let bound = listener.local_addr().map_err(|e| RunError::Listen(address, e))?;
+            tokio::task::spawn_local(metrics::serve(listener, news.clone()));
+            Some(bound)
+        }
+    };
+    let every = Duration::from_nanos(settings.look_ns);
+    tokio::task::spawn_local(pool_file::watch(list, every, seen, news.clone()));
+    let clock = Clock::start();
+    let mut rng = StdRng::try_from_os_rng().map_err(|e| RunError::Machine(format!("no randomness: {e}")))?;
+    let front = Front::with_guards(settings.clone(), clock.now(), rng.next_u64(), guards);
+    let mut driver = Driver {
+        front,
+        clock,
+        rng,
+        settings,
+        news,
+        callers: BTreeMap::new(),
+        links: BTreeMap::new(),
+        next_caller: 1,
+        effects: Vec::new(),
+        stopped: false,
+    };
+    driver.feed(Input::PoolList(pools));
+    ready(Ready { callers, metrics });
+    tracing::info!(%callers, ?metrics, "listening");
+    let mut stop = std::pin::pin!(stop);
+    let (mut stopping, mut round) = (false, Vec::new());
+    while !driver.stopped {
+        let due = driver.front.next_timeout().map(|at| driver.clock.instant(at));
+        tokio::select! {
+            count = inbox.recv_many(&mut round, ROUND) => {
+                debug_assert!(count > 0, "the driver holds a sender itself");
+                round.drain(..).for_each(|news| driver.take(news));
+            }
+            accepted = listener.accept(), if !stopping => match accepted {
+                Ok((stream, from)) => driver.accept(stream, from),
+                Err(error) => {
+                    // Out of descriptors, most likely: what is connected goes on.
+                    tracing::warn!(%error, "not accepted");
+                    tokio::time::sleep(Duration::from_millis(10)).await;
+                }
+            },
+            _ = tokio::time::sleep_until(due.unwrap_or_else(tokio::time::Instant::now)), if due.is_some() => {
+                driver.feed(Input::Timeout);
+            }
+            _ = &mut stop, if !stopping => {
+                stopping = true;
+                driver.feed(Input::Stop);
+            }
+        }
+    }
+    driver.close().await;
+    tracing::info!("stopped");
+    Ok(())
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, RunError> {
+    TcpListener::bind(address).await.map_err(|e| RunError::Listen(address, e))
+}
+
+impl Driver {
+    fn take(&mut self, news: News) {
+        match news {
+            News::Input(input) => {
+                match &input {
+                    Input::CallerClosed(caller) => drop(self.callers.remove(caller)),
+                    Input::LinkDown { link, .. } => drop(self.links.remove(link)),
+                    _ => {}
+                }
+                self.feed(input);
+            }
+            News::PoolList(pools) => self.feed(Input::PoolList(pools)),
+            News::PoolListRefused(why) => {
+                tracing::error!(why, "pool list refused, the one in hand stays in force");
+                self.front.pool_list_refused();
+            }
+            // Who asked may have gone.
+            News::Metrics(give) => drop(give.send(metrics::page(&self.front))),
+        }
+    }
+
+    fn feed(&mut self, input: Input) {
+        let mut effects = std::mem::take(&mut self.effects);
+        self.front.handle(self.clock.now(), input, &mut effects);
+        for effect in effects.drain(..) {
+            self.carry_out(effect);
+        }
+        self.effects = effects;
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::ToCaller(caller, text) => {
+                let Some(peer) = self.callers.get(&caller) else { return };
+                if peer.out.try_send(Outgoing { number: 0, text, not_after_ns: None }).is_err() {
+                    // It does not read: it is cut off, so that others don't feel it.
+                    tracing::info!(caller, "caller cut off: it does not read");
+                    peer.task.abort();
+                    self.callers.remove(&caller);
+                    self.tell_later(Input::CallerClosed(caller));
+                }
+            }
+            Effect::ToServer { link, message, text, not_after_ns } => {
+                let full = match self.links.get(&link) {
+                    Some(peer) => {
+                        peer.out.try_send(Outgoing { number: message, text, not_after_ns }).is_err()
+                    }
+                    None => false,
+                };
+                if full {
+                    self.tell_later(Input::NotWritten { link, message });
+                }
+            }
+            Effect::Connect(link, address) => self.connect(link, address),
+            // The queue's end ends the task, once what it holds is written.
+            Effect::Disconnect(link) => drop(self.links.remove(&link)),
+            Effect::Stopped => self.stopped = true,
+        }
+    }
+
+    /// An input that an effect causes: told by a task of its own, since the front is in use.
+    fn tell_later(&self, input: Input) {
+        let news = self.news.clone();
+        tokio::task::spawn_local(async move {
+            let _ = news.send(News::Input(input)).await;
+        });
+    }
+
+    fn rng(&mut self) -> StdRng {
+        StdRng::from_rng(&mut self.rng)
+    }
+
+    fn accept(&mut self, mut stream: TcpStream, from: SocketAddr) {
+        if self.callers.len() >= self.settings.limits.callers {
+            tokio::task::spawn_local(async move {
+                let refusal = handshake::plain_response("503 Service Unavailable", "", "too many callers\n");
+                let _ = tokio::time::timeout(HANDSHAKE, stream.write_all(&refusal)).await;
+            });
+            return;
+        }
+        let caller = self.next_caller;
+        self.next_caller += 1;
+        let (out, mut queue) = mpsc::channel(self.settings.limits.queue);
+        let (news, clock, rng) = (self.news.clone(), self.clock, self.rng());
+        let quiet = Some(Duration::from_nanos(self.settings.timing.quiet_ns));
+        let task = tokio::task::spawn_local(async move {
+            let opened = tokio::time::timeout(HANDSHAKE, serve_handshake(&mut stream)).await;
+            match opened {
+                Ok(Ok(rest)) => {
+                    let pump = Pump { stream, role: Role::Server, clock, rng, quiet };
+                    let heard = async |heard| match heard {
+                        Heard::Text(text) => {
+                            news.send(News::Input(Input::CallerText(caller, text))).await.is_ok()
+                        }
+                        Heard::NotWritten(_) => true,
+                    };
+                    let ended = pump.run(&rest, &mut queue, heard).await;
+                    tracing::debug!(caller, why = ended.why, "caller's connection ended");
+                }
+                Ok(Err(why)) => tracing::debug!(%from, why, "no handshake"),
+                Err(_) => tracing::debug!(%from, "no handshake in time"),
+            }
+            let _ = news.send(News::Input(Input::CallerClosed(caller))).await;
+        });
+        self.callers.insert(caller, Peer { out, task: task.abort_handle() });
+        self.feed(Input::CallerOpened(caller));
+    }
+
+    fn connect(&mut self, link: LinkId, address: SocketAddr) {
+        let (out, mut queue) = mpsc::channel(self.settings.limits.queue);
+        let (news, clock, mut rng) = (self.news.clone(), self.clock, self.rng());
+        let limit = Duration::from_nanos(self.settings.timing.connect_ns);
+        let target = format!("/signal/{}", self.settings.name);
+        let task = tokio::task::spawn_local(async move {
+            let mut written = 0;
+            match tokio::time::timeout(limit, open_link(address, &target, &mut rng)).await {
+                Ok(Ok((stream, rest))) => {
+                    if news.send(News::Input(Input::LinkUp(link))).await.is_err() {
+                        return;
+                    }
+                    let pump = Pump { stream, role: Role::Client, clock, rng, quiet: None };
+                    let heard = async |heard| {
+                        let input = match heard {
+                            Heard::Text(text) => Input::LinkText(link, text),
+                            Heard::NotWritten(message) => Input::NotWritten { link, message },
+                        };
+                        news.send(News::Input(input)).await.is_ok()
+                    };
+                    let ended = pump.run(&rest, &mut queue, heard).await;
+                    tracing::debug!(link, why = ended.why, "connection to a server ended");
+                    written = ended.written;
+                }
+                Ok(Err(why)) => tracing::debug!(link, %address, why, "no connection"),
+                Err(_) => tracing::debug!(link, %address, "no connection in time"),
+            }
+            let _ = news.send(News::Input(Input::LinkDown { link, written })).await;
+        });
+        self.links.insert(link, Peer { out, task: task.abort_handle() });
+    }
+
+    /// Ends all connections: what was queued for them is written if they read it soon.
+    async fn close(mut self) {
+        let tasks: Vec<AbortHandle> =
+            self.callers.values().chain(self.links.values()).map(|peer| peer.task.clone()).collect();
+        self.callers.clear();
+        self.links.clear();
+        for _ in 0..100 {
+            if tasks.iter().all(AbortHandle::is_finished) {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+async fn serve_handshake(stream: &mut TcpStream) -> Result<Vec<u8>, String> {
+    let (request, rest) = match read_head(stream, http::request).await {
+        Ok(head) => head,
+        Err(error) => {
+            let body = format!("{error}\n");
+            let _ = stream.write_all(&handshake::plain_response("400 Bad Request", "", &body)).await;
+            return Err(error);
+        }
+    };
+    if request.target != "/call" {
+        let answer = handshake::plain_response("404 Not Found", "", "callers connect to /call\n");
+        let _ = stream.write_all(&answer).await;
+        return Err(format!("no such target: {}", request.target));
+    }
+    match handshake::server_answer(&request, handshake::CALL_PROTOCOL) {
+        Ok(answer) => stream.write_all(&answer).await.map(|()| rest).map_err(|e| e.to_string()),
+        Err(error) => {
+            let _ = stream.write_all(&handshake::refusal(&error)).await;
+            Err(error.to_string())
+        }
+    }
+}
+
+async fn open_link(
+    address: SocketAddr,
+    target: &str,
+    rng: &mut StdRng,
+) -> Result<(TcpStream, Vec<u8>), String> {
+    let mut stream = TcpStream::connect(address).await.map_err(|e| e.to_string())?;
+    let mut random = [0; 16];
+    rng.fill_bytes(&mut random);
+    let key = handshake::key(random);
+    let host = address.to_string();
+    let request = handshake::client_request(&host, target, &key, handshake::SIGNAL_PROTOCOL);
+    stream.write_all(&request).await.map_err(|e| e.to_string())?;
+    let (answer, rest) = read_head(&mut stream, http::response).await?;
+    handshake::check_answer(&answer, &key, handshake::SIGNAL_PROTOCOL).map_err(|e| e.to_string())?;
+    Ok((stream, rest))
+}
--- /dev/null
+++ b/crates/lilacpitch-edge/src/net/metrics.rs
@@ -0,0 +1,69 @@
+//! `GET /metrics` on its own address: a page of what the front counts.
+
+use super::driver::News;
+use super::pump::read_head;
+use crate::front::Front;
+use lilacpitch_protocol::handshake::plain_response;
+use lilacpitch_protocol::http;
+use std::fmt::Write;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+
+/// How long one reader may take.
+const PATIENCE: Duration = Duration::from_secs(5);
+
+/// Serves one reader after the other, until nobody listens.
+pub(super) async fn serve(listener: TcpListener, news: mpsc::Sender<News>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let _ = tokio::time::timeout(PATIENCE, answer(stream, &news)).await;
+            }
+            Err(error) => {
+                tracing::warn!(%error, "metrics: not accepted");
+                tokio::time::sleep(PATIENCE).await;
+            }
+        }
+        if news.is_closed() {
+            return;
+        }
+    }
+}
+
+async fn answer(mut stream: TcpStream, news: &mpsc::Sender<News>) -> Option<()> {
+    let response = match read_head(&mut stream, http::request).await {
+        Ok((request, _)) if request.method == "GET" && request.target == "/metrics" => {
+            let (give, take) = oneshot::channel();
+            news.send(News::Metrics(give)).await.ok()?;
+            plain_response("200 OK", "", &take.await.ok()?)
+        }
+        Ok(_) => plain_response("404 Not Found", "", "GET /metrics only\n"),
+        Err(error) => plain_response("400 Bad Request", "", &format!("{error}\n")),
+    };
+    stream.write_all(&response).await.ok()?;
+    stream.shutdown().await.ok()
+}
+
+/// The page.
+pub(super) fn page(front: &Front) -> String {
+    let mut out = String::new();
+    front.counters().page(&mut out);
+    let (owed, standing) = front.calls_now();
+    // Writing to a String cannot fail.
+    let _ = write!(
+        out,
+        "# TYPE lilacpitch_calls_owed gauge\nlilacpitch_calls_owed {owed}\n\
+         # TYPE lilacpitch_calls_standing gauge\nlilacpitch_calls_standing {standing}\n\
+         # TYPE lilacpitch_callers gauge\nlilacpitch_callers {}\n\
+         # TYPE lilacpitch_server_connected gauge\n# TYPE lilacpitch_server_attempts gauge\n",
+        front.callers_now()
+    );
+    for server in front.servers() {
+        let (name, up) = (&server.name, u8::from(server.connected));
+        let _ = writeln!(out, "lilacpitch_server_connected{{server=\"{name}\"}} {up}");
+        let _ = writeln!(out, "lilacpitch_server_attempts{{server=\"{name}\"}} {}", server.attempts);
+    }
+    out
+}
--- /dev/null
+++ b/crates/lilacpitch-edge/src/net/mod.rs
@@ -0,0 +1,13 @@
+//! The shell around [`Front`]: sockets, queues and the clock, on tokio. It decides nothing.
+//!
+//! Everything runs on one thread as tasks of a `LocalSet`; the driver owns the front, a task each owns a
+//! connection, and bounded queues join them. A connection that can't keep up is ended, and never waited for.
+
+mod clock;
+mod driver;
+mod metrics;
+mod pool_file;
+mod pump;
+
+pub use clock::Clock;
+pub use driver::{run, Ready, RunError};
