--- a/crates/lilacpitch-edge/src/front/counters.rs
+++ b/crates/lilacpitch-edge/src/front/counters.rs
@@ -39,6 +39,7 @@
     attempts_full: "Attempts answered: processor full.",
     attempts_unsent: "Attempts that never left.",
     answers_late: "Answers for attempts that had ended, released at their server.",
+    answers_crossed: "Answers for attempts that had ended or been answered.",
     server_errors: "Messages of servers that could not be taken.",
     caller_errors: "Messages of callers that could not be taken.",
     links_made: "Connections made to servers.",
--- a/crates/lilacpitch-edge/src/front/links.rs
+++ b/crates/lilacpitch-edge/src/front/links.rs
@@ -231,8 +231,10 @@
                 Some(outcome) => self.end_attempt(id, outcome, report, effects),
                 None => self.server_error(server, "released before its answer"),
             },
-            // Crossed with the front's own cancel or release.
-            (_, None) => {}
+            // Crossed with the front's own cancel or release; or a repeat's answer, crossed with the first.
+            (_, None) | (FromServer::Answer { .. }, Some(AttemptState::Standing)) => {
+                self.counters.answers_crossed += 1;
+            }
             (_, Some(_)) => self.server_error(server, "answer for an attempt that is not out"),
         }
     }
--- a/crates/lilacpitch-edge/src/net/driver.rs
+++ b/crates/lilacpitch-edge/src/net/driver.rs
@@ -1,11 +1,11 @@
 //! The driver: the one task that owns the front, and the tasks of connections around it.
 
-use super::pump::{read_head, Heard, Outgoing, Pump};
+use super::pump::{open, serve_handshake, Heard, Outgoing, Pump};
 use super::{metrics, pool_file, Clock};
 use crate::front::{CallerId, Effect, Front, Guards, Input, LinkId};
 use lilacpitch_config::{ConfigError, Edge, Pools};
 use lilacpitch_protocol::frame::Role;
-use lilacpitch_protocol::{handshake, http};
+use lilacpitch_protocol::handshake;
 use rand::rngs::StdRng;
 use rand::{RngCore, SeedableRng};
 use std::collections::BTreeMap;
@@ -241,9 +241,13 @@
         let (news, clock, rng) = (self.news.clone(), self.clock, self.rng());
         let quiet = Some(Duration::from_nanos(self.settings.timing.quiet_ns));
         let task = tokio::task::spawn_local(async move {
-            let opened = tokio::time::timeout(HANDSHAKE, serve_handshake(&mut stream)).await;
+            let opened = tokio::time::timeout(
+                HANDSHAKE,
+                serve_handshake(&mut stream, "/call", handshake::CALL_PROTOCOL),
+            )
+            .await;
             match opened {
-                Ok(Ok(rest)) => {
+                Ok(Ok((_, rest))) => {
                     let pump = Pump { stream, role: Role::Server, clock, rng, quiet };
                     let heard = async |heard| match heard {
                         Heard::Text(text) => {
@@ -270,7 +274,9 @@
         let target = format!("/signal/{}", self.settings.name);
         let task = tokio::task::spawn_local(async move {
             let mut written = 0;
-            match tokio::time::timeout(limit, open_link(address, &target, &mut rng)).await {
+            match tokio::time::timeout(limit, open(address, &target, handshake::SIGNAL_PROTOCOL, &mut rng))
+                .await
+            {
                 Ok(Ok((stream, rest))) => {
                     if news.send(News::Input(Input::LinkUp(link))).await.is_err() {
                         return;
@@ -309,43 +315,3 @@
         }
     }
 }
-
-async fn serve_handshake(stream: &mut TcpStream) -> Result<Vec<u8>, String> {
-    let (request, rest) = match read_head(stream, http::request).await {
-        Ok(head) => head,
-        Err(error) => {
-            let body = format!("{error}\n");
-            let _ = stream.write_all(&handshake::plain_response("400 Bad Request", "", &body)).await;
-            return Err(error);
-        }
-    };
-    if request.target != "/call" {
-        let answer = handshake::plain_response("404 Not Found", "", "callers connect to /call\n");
-        let _ = stream.write_all(&answer).await;
-        return Err(format!("no such target: {}", request.target));
-    }
-    match handshake::server_answer(&request, handshake::CALL_PROTOCOL) {
-        Ok(answer) => stream.write_all(&answer).await.map(|()| rest).map_err(|e| e.to_string()),
-        Err(error) => {
-            let _ = stream.write_all(&handshake::refusal(&error)).await;
-            Err(error.to_string())
-        }
-    }
-}
-
-async fn open_link(
-    address: SocketAddr,
-    target: &str,
-    rng: &mut StdRng,
-) -> Result<(TcpStream, Vec<u8>), String> {
-    let mut stream = TcpStream::connect(address).await.map_err(|e| e.to_string())?;
-    let mut random = [0; 16];
-    rng.fill_bytes(&mut random);
-    let key = handshake::key(random);
-    let host = address.to_string();
-    let request = handshake::client_request(&host, target, &key, handshake::SIGNAL_PROTOCOL);
-    stream.write_all(&request).await.map_err(|e| e.to_string())?;
-    let (answer, rest) = read_head(&mut stream, http::response).await?;
-    handshake::check_answer(&answer, &key, handshake::SIGNAL_PROTOCOL).map_err(|e| e.to_string())?;
-    Ok((stream, rest))
-}
--- a/crates/lilacpitch-edge/src/net/mod.rs
+++ b/crates/lilacpitch-edge/src/net/mod.rs
@@ -11,3 +11,4 @@
 
 pub use clock::Clock;
 pub use driver::{run, Ready, RunError};
+pub use pump::{open, serve_handshake, Ended, Heard, Outgoing, Pump};
--- a/crates/lilacpitch-edge/src/net/pump.rs
+++ b/crates/lilacpitch-edge/src/net/pump.rs
@@ -6,9 +6,12 @@
 use super::Clock;
 use lilacpitch::interface::Nanos;
 use lilacpitch_protocol::frame::{CloseCode, Decoder, Encoder, FrameError, Message, Role};
+use lilacpitch_protocol::handshake;
+use lilacpitch_protocol::http;
 use lilacpitch_protocol::http::HeadError;
 use rand::rngs::StdRng;
 use rand::RngCore;
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -23,30 +26,40 @@
 
 /// A message to write.
 #[derive(Debug)]
-pub(super) struct Outgoing {
+pub struct Outgoing {
+    /// Its number among the connection's messages.
     pub number: u64,
+    /// The text.
     pub text: String,
+    /// Not to be written after this moment.
     pub not_after_ns: Option<Nanos>,
 }
 
 /// What a connection tells of itself while it lives.
 #[derive(Debug)]
-pub(super) enum Heard {
+pub enum Heard {
+    /// The other end sent a text message.
     Text(String),
+    /// A message was too old to be written, by its number.
     NotWritten(u64),
 }
 
 /// How a connection ended, and what may have left of the messages given to it.
 #[derive(Debug)]
-pub(super) struct Ended {
+pub struct Ended {
+    /// So many of the messages given to it may have left.
     pub written: u64,
+    /// Why it ended.
     pub why: String,
 }
 
 /// A connection whose handshake is done.
-pub(super) struct Pump {
+pub struct Pump {
+    /// The connection.
     pub stream: TcpStream,
+    /// Which end this is.
     pub role: Role,
+    /// For messages that grow too old.
     pub clock: Clock,
     /// Masks of a client's frames.
     pub rng: StdRng,
@@ -209,3 +222,55 @@
         }
     }
 }
+
+/// The server's side of an opening handshake, for targets that are `target` or lie below it. Returns the target
+/// and the bytes that came behind the head; a request that is refused gets its answer.
+pub async fn serve_handshake(
+    stream: &mut TcpStream,
+    target: &str,
+    protocol: &'static str,
+) -> Result<(String, Vec<u8>), String> {
+    let (request, rest) = match read_head(stream, http::request).await {
+        Ok(head) => head,
+        Err(error) => {
+            let body = format!("{error}\n");
+            let _ = stream.write_all(&handshake::plain_response("400 Bad Request", "", &body)).await;
+            return Err(error);
+        }
+    };
+    let below =
+        request.target.strip_prefix(target).is_some_and(|more| more.is_empty() || more.starts_with('/'));
+    if !below {
+        let body = format!("connect to {target}\n");
+        let _ = stream.write_all(&handshake::plain_response("404 Not Found", "", &body)).await;
+        return Err(format!("no such target: {}", request.target));
+    }
+    match handshake::server_answer(&request, protocol) {
+        Ok(answer) => {
+            stream.write_all(&answer).await.map_err(|e| e.to_string())?;
+            Ok((request.target, rest))
+        }
+        Err(error) => {
+            let _ = stream.write_all(&handshake::refusal(&error)).await;
+            Err(error.to_string())
+        }
+    }
+}
+
+/// The client's side: a connection with its handshake done, and the bytes that came behind it.
+pub async fn open(
+    address: SocketAddr,
+    target: &str,
+    protocol: &str,
+    rng: &mut StdRng,
+) -> Result<(TcpStream, Vec<u8>), String> {
+    let mut stream = TcpStream::connect(address).await.map_err(|e| e.to_string())?;
+    let mut random = [0; 16];
+    rng.fill_bytes(&mut random);
+    let key = handshake::key(random);
+    let request = handshake::client_request(&address.to_string(), target, &key, protocol);
+    stream.write_all(&request).await.map_err(|e| e.to_string())?;
+    let (answer, rest) = read_head(&mut stream, http::response).await?;
+    handshake::check_answer(&answer, &key, protocol).map_err(|e| e.to_string())?;
+    Ok((stream, rest))
+}
--- /dev/null
+++ b/crates/lilacpitch-lab/src/cli.rs
@@ -0,0 +1,111 @@
+//! The command line of the laboratory.
+
+use clap::{Parser, Subcommand};
+use lilacpitch_lab::day::{Day, DAY_SCHEMA};
+use lilacpitch_lab::edges::Program;
+use lilacpitch_lab::judge::{Breach, Rule};
+use lilacpitch_lab::play::play;
+use std::ffi::OsString;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+/// Breaches of one rule that are printed.
+const PRINTED: usize = 5;
+
+/// The laboratory: simulated servers and callers, bad days, load, and the judge of the rules.
+#[derive(Debug, Parser)]
+#[command(name = "lilacpitch-lab", version)]
+struct Args {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Play a day with real fronts on loopback, and judge the five rules by what crossed the sockets.
+    Day {
+        /// The day's file.
+        file: PathBuf,
+        /// The front's program; this one's own front otherwise.
+        #[arg(long, value_name = "PROGRAM")]
+        edge_program: Option<PathBuf>,
+        /// Write what was seen, one record a line.
+        #[arg(long, value_name = "FILE")]
+        records: Option<PathBuf>,
+    },
+    /// Print the schema of day files, with comments and defaults.
+    Schema,
+    /// This program as a front.
+    #[command(hide = true, disable_help_flag = true)]
+    Edge {
+        /// Arguments of lilacpitch-edge.
+        #[arg(trailing_var_arg = true, allow_hyphen_values = true)]
+        args: Vec<OsString>,
+    },
+}
+
+/// Runs the program. Exit codes: 0 done and all rules kept, 1 a rule broken, 2 could not run.
+pub fn main() -> ExitCode {
+    match Args::parse().command {
+        Command::Edge { args } => {
+            lilacpitch_edge::cli::main(std::iter::once("lilacpitch-edge".into()).chain(args))
+        }
+        Command::Schema => {
+            print!("{DAY_SCHEMA}");
+            ExitCode::SUCCESS
+        }
+        Command::Day { file, edge_program, records } => done(day(&file, edge_program, records.as_deref())),
+    }
+}
+
+fn done(ran: Result<bool, String>) -> ExitCode {
+    match ran {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(1),
+        Err(error) => {
+            eprintln!("lilacpitch-lab: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn day(file: &Path, edge_program: Option<PathBuf>, records: Option<&Path>) -> Result<bool, String> {
+    let day = Day::load(file).map_err(|e| format!("{}\n{e}", e.drawn()))?;
+    let program = match edge_program {
+        Some(path) => Program::Process(path, Vec::new()),
+        None => Program::this().map_err(|e| format!("this program's own path: {e}"))?,
+    };
+    println!(
+        "{}: {} fronts, {} servers, {} calls a second for {} s, {} troubles; figures of simulated servers",
+        file.display(),
+        day.edges,
+        day.servers.len(),
+        day.per_s,
+        day.length_ns / 1_000_000_000,
+        day.troubles.len()
+    );
+    let played = play(&day, &program).map_err(|e| e.to_string())?;
+    if let Some(path) = records {
+        let lines: Result<Vec<String>, _> = played.records.iter().map(serde_json::to_string).collect();
+        let text = lines.map_err(|e| e.to_string())?.join("\n") + "\n";
+        std::fs::write(path, text).map_err(|e| format!("{}: {e}", path.display()))?;
+    }
+    println!("{}", played.report);
+    let seconds = day.length_ns as f64 / 1e9;
+    for (edge, used) in played.used.iter().enumerate() {
+        let share = 100.0 * used.cpu_s / seconds;
+        println!("front {edge}: {share:.1} % of a core, {:.1} MiB at most", used.peak_mib);
+    }
+    Ok(verdict(&played.breaches))
+}
+
+fn verdict(breaches: &[Breach]) -> bool {
+    for rule in Rule::ALL {
+        let broken: Vec<&Breach> = breaches.iter().filter(|b| b.rule == rule).collect();
+        let word =
+            if broken.is_empty() { "kept".to_string() } else { format!("BROKEN {} times", broken.len()) };
+        println!("{:<42} {word}", rule.text());
+        broken.iter().take(PRINTED).for_each(|breach| println!("  {breach}"));
+    }
+    breaches.is_empty()
+}
--- /dev/null
+++ b/crates/lilacpitch-lab/src/lib.rs
@@ -0,0 +1,21 @@
+//! The laboratory of lilacpitch.
+//!
+//! - [`model`]: simulated servers and callers, without I/O, in whatever time they are handed.
+//! - [`record`] and [`judge`]: what stand-ins saw at their sockets, and the verdict on the five rules from it.
+//! - [`day`]: a day as a typed record; [`play`] plays it with real edge processes on loopback.
+//! - [`report`]: service by class, the worst ten seconds, latency.
+//!
+//! All figures are figures of simulated servers.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod day;
+pub mod edges;
+pub mod judge;
+pub mod model;
+pub mod play;
+pub mod record;
+pub mod report;
+pub mod standin;
+
+mod callers;
--- /dev/null
+++ b/crates/lilacpitch-lab/src/model/mod.rs
@@ -0,0 +1,4 @@
+//! Simulated servers and callers, without I/O.
+
+pub mod caller;
+pub mod server;
--- /dev/null
+++ b/crates/lilacpitch-lab/src/play.rs
@@ -0,0 +1,249 @@
+//! Plays a day with real fronts on loopback: starts them and the stand-ins, lets the troubles happen, collects
+//! what crossed the sockets.
+
+use crate::callers;
+use crate::day::{pool_list, Day, Listed, Script};
+use crate::edges::{EdgeError, Program, Running, Used};
+use crate::judge::{judge, Breach};
+use crate::model::caller::Callers;
+use crate::record::{Record, Seen};
+use crate::report::{report, Report};
+use crate::standin::{self, Play};
+use lilacpitch::interface::Nanos;
+use lilacpitch_edge::net::Clock;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use thiserror::Error;
+use tokio::sync::watch;
+
+/// From the fronts' start to the first call: links are made meanwhile.
+const LEAD_NS: Nanos = 1_000_000_000;
+
+/// Why a day could not be played.
+#[derive(Debug, Error)]
+pub enum PlayError {
+    /// A front.
+    #[error(transparent)]
+    Edge(#[from] EdgeError),
+    /// A file or socket of the laboratory itself.
+    #[error("{0}: {1}")]
+    Io(&'static str, std::io::Error),
+    /// A caller could not connect.
+    #[error("callers: {0}")]
+    Callers(String),
+}
+
+/// A day that was played.
+#[derive(Debug)]
+pub struct Played {
+    /// What crossed the sockets, in the order of time.
+    pub records: Vec<Record>,
+    /// Its sums.
+    pub report: Report,
+    /// Rules broken.
+    pub breaches: Vec<Breach>,
+    /// What each front's process used; empty for threads.
+    pub used: Vec<Used>,
+}
+
+/// Plays a day with this program as its fronts. Blocks until it is over.
+pub fn play(day: &Day, program: &Program) -> Result<Played, PlayError> {
+    let folder = tempfile::tempdir().map_err(|e| PlayError::Io("a folder for settings", e))?;
+    let script = day.script();
+    let clock = Clock::start();
+    let mut sockets = Vec::new();
+    for _ in &script.servers {
+        sockets.push(standin::bind().map_err(|e| PlayError::Io("a server's socket", e))?);
+    }
+    let addresses: Vec<SocketAddr> = sockets.iter().map(|(_, address)| *address).collect();
+    let mut board = Board::new(day, &script, addresses, folder.path());
+    board.write().map_err(|e| PlayError::Io("the pool list", e))?;
+    let start_ns = clock.now() + LEAD_NS * 2;
+    board.day_start_ms = start_ns / 1_000_000;
+    let (over, done) = watch::channel(false);
+    let plays = plays(day, &script, sockets, start_ns);
+    let servers = std::thread::spawn(move || on_a_loop(standin::play(plays, clock, done)));
+    let mut edges = Vec::new();
+    let mut played = start_edges(day, program, folder.path(), &board.path, &mut edges)
+        .and_then(|()| play_day(day, &script, &edges, board, clock, start_ns));
+    let used: Vec<Used> = edges.iter().filter_map(Running::used).collect();
+    for edge in edges {
+        // The first error is the one that tells most.
+        if let (Err(error), Ok(_)) = (edge.stop(), &played) {
+            played = Err(error.into());
+        }
+    }
+    let _ = over.send(true);
+    let seen = match servers.join() {
+        Ok(Ok(Ok(records))) => records,
+        Ok(Ok(Err(error)) | Err(error)) => return Err(PlayError::Io("a server", error)),
+        Err(_) => return Err(PlayError::Io("a server", std::io::Error::other("panicked"))),
+    };
+    let mut records = played?;
+    records.extend(seen);
+    records.sort_by_key(|r| r.at_ns);
+    for record in &mut records {
+        record.at_ns = record.at_ns.saturating_sub(start_ns);
+    }
+    let breaches = judge(&records, day.figures());
+    Ok(Played { report: report(day, &records, 0), breaches, records, used })
+}
+
+/// Runs to its end on a thread of its own loop.
+fn on_a_loop<T>(of: impl std::future::Future<Output = T>) -> std::io::Result<T> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    Ok(tokio::task::LocalSet::new().block_on(&runtime, of))
+}
+
+fn plays(
+    day: &Day,
+    script: &Script,
+    sockets: Vec<(std::net::TcpListener, SocketAddr)>,
+    start_ns: Nanos,
+) -> Vec<Play> {
+    let of = |(index, (listener, _)): (usize, (std::net::TcpListener, SocketAddr))| {
+        let (server, listed) = &script.servers[index];
+        let own = script.server.iter().filter(|(_, i, _)| *i == index);
+        Play {
+            name: server.name.clone(),
+            make: day.make(server),
+            listener,
+            events: own.map(|(at, _, event)| (start_ns + at, *event)).collect(),
+            absent: !listed,
+        }
+    };
+    sockets.into_iter().enumerate().map(of).collect()
+}
+
+fn start_edges(
+    day: &Day,
+    program: &Program,
+    folder: &Path,
+    list: &Path,
+    edges: &mut Vec<Running>,
+) -> Result<(), PlayError> {
+    for edge in 0..day.edges {
+        let config = folder.join(format!("edge-{edge}.cue"));
+        let text = day.edge_settings(edge, &list.display().to_string(), "127.0.0.1:0");
+        std::fs::write(&config, text).map_err(|e| PlayError::Io("a front's settings", e))?;
+        edges.push(program.start(&config)?);
+    }
+    Ok(())
+}
+
+fn play_day(
+    day: &Day,
+    script: &Script,
+    edges: &[Running],
+    board: Board,
+    clock: Clock,
+    start_ns: Nanos,
+) -> Result<Vec<Record>, PlayError> {
+    let plan = |edge: usize| callers::Plan {
+        edge,
+        address: edges[edge].callers,
+        sockets: day.callers_per_edge,
+        classes: day.classes.iter().map(|c| c.name.clone()).collect(),
+        pools: day.pools(),
+        callers: Callers::new(
+            format!("e{edge}c"),
+            day.habits(),
+            day.pools().len(),
+            day.seed.wrapping_mul(1000) + edge as u64,
+        ),
+        rate: day.rate(script),
+        start_ns,
+        length_ns: day.length_ns,
+        leave: script.leave.iter().filter(|(_, e)| *e == edge).map(|(at, _)| *at).collect(),
+    };
+    let all = async {
+        let callers: Vec<_> =
+            (0..edges.len()).map(|edge| tokio::task::spawn_local(callers::play(plan(edge), clock))).collect();
+        let mut records = happen(script, edges, board, clock, start_ns).await?;
+        for task in callers {
+            let seen = task.await.map_err(|e| PlayError::Callers(e.to_string()))?;
+            records.extend(seen.map_err(PlayError::Callers)?);
+        }
+        Ok(records)
+    };
+    on_a_loop(all).map_err(|e| PlayError::Io("the laboratory's loop", e))?
+}
+
+/// Lets happen what is neither a server's nor a caller's doing: the pool list, and fronts that freeze.
+async fn happen(
+    script: &Script,
+    edges: &[Running],
+    mut board: Board,
+    clock: Clock,
+    start_ns: Nanos,
+) -> Result<Vec<Record>, PlayError> {
+    enum What {
+        Listed(usize, Listed),
+        Freeze(usize, bool),
+    }
+    let mut all: Vec<(Nanos, What)> =
+        script.list.iter().map(|(at, server, listed)| (*at, What::Listed(*server, *listed))).collect();
+    for (from, to, edge) in &script.freeze {
+        all.push((*from, What::Freeze(*edge, true)));
+        all.push((*to, What::Freeze(*edge, false)));
+    }
+    all.sort_by_key(|(at, _)| *at);
+    let mut records = Vec::new();
+    for (at, what) in all {
+        tokio::time::sleep_until(clock.instant(start_ns + at)).await;
+        let seen = match what {
+            What::Listed(server, listed) => {
+                board.listed[server] = listed;
+                board.write().map_err(|e| PlayError::Io("the pool list", e))?;
+                let running = matches!(listed, Listed::Running(_));
+                Seen::Told { server: script.servers[server].0.name.clone(), running }
+            }
+            What::Freeze(edge, on) => {
+                edges[edge].freeze(on);
+                if on {
+                    Seen::Frozen { edge }
+                } else {
+                    Seen::Thawed { edge }
+                }
+            }
+        };
+        records.push(Record { at_ns: clock.now(), seen });
+    }
+    // Nothing may stay frozen, or it could not be stopped.
+    tokio::time::sleep(Duration::ZERO).await;
+    Ok(records)
+}
+
+/// The pool list, as it stands and as a file.
+struct Board {
+    path: PathBuf,
+    rows: Vec<(String, String, SocketAddr)>,
+    listed: Vec<Listed>,
+    day_start_ms: u64,
+}
+
+impl Board {
+    fn new(_: &Day, script: &Script, addresses: Vec<SocketAddr>, folder: &Path) -> Self {
+        let servers = script.servers.iter().zip(addresses);
+        Board {
+            path: folder.join("pools.cue"),
+            rows: servers.map(|((s, _), address)| (s.name.clone(), s.pool.clone(), address)).collect(),
+            listed: script
+                .servers
+                .iter()
+                .map(|(_, listed)| if *listed { Listed::Running(None) } else { Listed::Gone })
+                .collect(),
+            day_start_ms: 0,
+        }
+    }
+
+    /// Replaced whole, by renaming: no front reads half of it.
+    fn write(&self) -> std::io::Result<()> {
+        let rows = self.rows.iter().zip(&self.listed);
+        let rows = rows.map(|((n, p, a), l)| (n.clone(), p.clone(), a.to_string(), *l));
+        let beside = self.path.with_extension("new");
+        std::fs::write(&beside, pool_list(rows, self.day_start_ms))?;
+        std::fs::rename(&beside, &self.path)
+    }
+}
