--- a/crates/lilacpitch-edge/src/front/calls.rs
+++ b/crates/lilacpitch-edge/src/front/calls.rs
@@ -189,7 +189,9 @@
     pub(super) fn resend(&mut self, id: AttemptId, effects: &mut Vec<Effect>) {
         let Some(attempt) = self.attempts.get(&id) else { return };
         let out = matches!(attempt.state, AttemptState::Out { .. });
-        if out && (self.servers.in_service(attempt.server) || !self.guards.drains) {
+        // After a standstill of this front both may be due: what has timed out is not sent again.
+        let over = self.timers.at(Timer::TimeOut(id)).is_none_or(|at| at <= self.now);
+        if out && !over && (self.servers.in_service(attempt.server) || !self.guards.drains) {
             self.transmit_setup(id, effects);
         }
     }
--- a/crates/lilacpitch-edge/src/front/mod.rs
+++ b/crates/lilacpitch-edge/src/front/mod.rs
@@ -206,6 +206,16 @@
         self.timers.first()
     }
 
+    /// Counts a pool list that could not be read; the one in hand stays in force.
+    pub fn pool_list_refused(&mut self) {
+        self.counters.pool_list_refused += 1;
+    }
+
+    /// Counts a caller that the shell cut off; [`Input::CallerClosed`] follows.
+    pub fn caller_cut_off(&mut self) {
+        self.counters.callers_cut_off += 1;
+    }
+
     /// What has been counted so far.
     pub fn counters(&self) -> &Counters {
         &self.counters
--- a/crates/lilacpitch-edge/src/front/pools.rs
+++ b/crates/lilacpitch-edge/src/front/pools.rs
@@ -31,11 +31,6 @@
         })
     }
 
-    /// Counts a pool list that could not be read; the one in hand stays in force.
-    pub fn pool_list_refused(&mut self) {
-        self.counters.pool_list_refused += 1;
-    }
-
     pub(super) fn on_pool_list(&mut self, pools: &Pools, effects: &mut Vec<Effect>) {
         self.counters.pool_lists_taken += 1;
         let mut listed = BTreeSet::new();
--- a/crates/lilacpitch-edge/src/front/timers.rs
+++ b/crates/lilacpitch-edge/src/front/timers.rs
@@ -42,6 +42,11 @@
         }
     }
 
+    /// When a timer is due, if it is set.
+    pub fn at(&self, timer: Timer) -> Option<Nanos> {
+        self.set.get(&timer).copied()
+    }
+
     pub fn first(&self) -> Option<Nanos> {
         self.due.first().map(|(at, _)| *at)
     }
--- a/crates/lilacpitch-edge/src/net/driver.rs
+++ b/crates/lilacpitch-edge/src/net/driver.rs
@@ -194,6 +194,7 @@
                     tracing::info!(caller, "caller cut off: it does not read");
                     peer.task.abort();
                     self.callers.remove(&caller);
+                    self.front.caller_cut_off();
                     self.tell_later(Input::CallerClosed(caller));
                 }
             }
