lilacpitch-lab load: what a front adds to a call, and the rate that one core holds

Need: the front's own cost, told apart from the load generator's.

Change: a steady load on one front process and the same on a null front; added time is clocked on both sockets of the front, processor time and memory read from the kernel's account of each process.

--- a/crates/lilacpitch-lab/src/cli.rs
+++ b/crates/lilacpitch-lab/src/cli.rs
@@ -4,6 +4,7 @@
 use lilacpitch_lab::day::{Day, DAY_SCHEMA};
 use lilacpitch_lab::edges::Program;
 use lilacpitch_lab::judge::{Breach, Rule};
+use lilacpitch_lab::load::load;
 use lilacpitch_lab::play::play;
 use std::ffi::OsString;
 use std::path::{Path, PathBuf};
@@ -33,6 +34,24 @@
         #[arg(long, value_name = "FILE")]
         records: Option<PathBuf>,
     },
+    /// Put a steady load on one front: what it adds to a call, what it costs, and the rate one core holds.
+    Load {
+        /// Calls a second.
+        #[arg(long, default_value_t = 740.0)]
+        per_s: f64,
+        /// For so many seconds.
+        #[arg(long, default_value_t = 60)]
+        seconds: u64,
+        /// Then these rates, in turn, each for --ramp-seconds.
+        #[arg(long, value_delimiter = ',')]
+        ramp: Vec<f64>,
+        /// How long each rate of the ramp lasts.
+        #[arg(long, default_value_t = 15)]
+        ramp_seconds: u64,
+        /// The front's program; this one's own front otherwise.
+        #[arg(long, value_name = "PROGRAM")]
+        edge_program: Option<PathBuf>,
+    },
     /// Print the schema of day files, with comments and defaults.
     Schema,
     /// This program as a front.
@@ -50,6 +69,10 @@
         Command::Edge { args } => {
             lilacpitch_edge::cli::main(std::iter::once("lilacpitch-edge".into()).chain(args))
         }
+        Command::Load { per_s, seconds, ramp, ramp_seconds, edge_program } => {
+            let ramp = ramp.into_iter().map(|rate| (rate, ramp_seconds));
+            done(load_all(std::iter::once((per_s, seconds)).chain(ramp), edge_program))
+        }
         Command::Schema => {
             print!("{DAY_SCHEMA}");
             ExitCode::SUCCESS
@@ -71,10 +94,7 @@
 
 fn day(file: &Path, edge_program: Option<PathBuf>, records: Option<&Path>) -> Result<bool, String> {
     let day = Day::load(file).map_err(|e| format!("{}\n{e}", e.drawn()))?;
-    let program = match edge_program {
-        Some(path) => Program::Process(path, Vec::new()),
-        None => Program::this().map_err(|e| format!("this program's own path: {e}"))?,
-    };
+    let program = front(edge_program)?;
     println!(
         "{}: {} fronts, {} servers, {} calls a second for {} s, {} troubles; figures of simulated servers",
         file.display(),
@@ -99,6 +119,26 @@
     Ok(verdict(&played.breaches))
 }
 
+fn front(program: Option<PathBuf>) -> Result<Program, String> {
+    match program {
+        Some(path) => Ok(Program::Process(path, Vec::new())),
+        None => Program::this().map_err(|e| format!("this program's own path: {e}")),
+    }
+}
+
+fn load_all(rates: impl Iterator<Item = (f64, u64)>, edge_program: Option<PathBuf>) -> Result<bool, String> {
+    let program = front(edge_program)?;
+    println!("one front, four servers that are never short; figures of simulated servers");
+    let mut kept = true;
+    for (per_s, seconds) in rates {
+        let load = load(&program, per_s, seconds)?;
+        println!("{load}");
+        load.breaches.iter().take(PRINTED).for_each(|breach| println!("  {breach}"));
+        kept &= load.breaches.is_empty();
+    }
+    Ok(kept)
+}
+
 fn verdict(breaches: &[Breach]) -> bool {
     for rule in Rule::ALL {
         let broken: Vec<&Breach> = breaches.iter().filter(|b| b.rule == rule).collect();
--- a/crates/lilacpitch-lab/src/edges.rs
+++ b/crates/lilacpitch-lab/src/edges.rs
@@ -2,9 +2,14 @@
 
 use lilacpitch_config::Edge;
 use lilacpitch_edge::front::Guards;
-use lilacpitch_edge::net::{run, Ready};
+use lilacpitch_edge::net::{run, serve_handshake, Clock, Heard, Outgoing, Pump, Ready};
+use lilacpitch_protocol::frame::Role;
+use lilacpitch_protocol::handshake::CALL_PROTOCOL;
+use lilacpitch_protocol::message::call::{Answer, FromCaller, ToCaller};
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
+use rand::rngs::StdRng;
+use rand::SeedableRng;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -12,7 +17,8 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 use thiserror::Error;
-use tokio::sync::oneshot;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
 
 /// How long a front may take to stop.
 const STOP: Duration = Duration::from_secs(20);
@@ -24,6 +30,8 @@
     Process(PathBuf, Vec<String>),
     /// The same front on a thread of this process, with these guards.
     Thread(Guards),
+    /// No front: whatever is asked for stands at once. For telling the laboratory's own cost.
+    Null,
 }
 
 /// Why a front could not be run.
@@ -74,6 +82,7 @@
         match self {
             Program::Process(program, first) => start_process(program, first, config),
             Program::Thread(guards) => start_thread(*guards, config),
+            Program::Null => start_null(),
         }
     }
 }
@@ -119,6 +128,55 @@
     }
 }
 
+fn start_null() -> Result<Running, EdgeError> {
+    let failed = |e| EdgeError::Process("a socket".into(), e);
+    let (listener, callers) = crate::standin::bind().map_err(failed)?;
+    let (stop, stopped) = oneshot::channel();
+    let thread = std::thread::spawn(move || {
+        let runtime =
+            tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
+        let serving = async move {
+            let listener = TcpListener::from_std(listener).map_err(|e| e.to_string())?;
+            let serve = async {
+                while let Ok((stream, _)) = listener.accept().await {
+                    tokio::task::spawn_local(answer_all(stream));
+                }
+            };
+            tokio::select! {
+                () = serve => {}
+                _ = stopped => {}
+            }
+            Ok(())
+        };
+        tokio::task::LocalSet::new().block_on(&runtime, serving)
+    });
+    Ok(Running { callers, what: What::Thread(stop, thread) })
+}
+
+async fn answer_all(mut stream: TcpStream) {
+    let Ok((_, rest)) = serve_handshake(&mut stream, "/call", CALL_PROTOCOL).await else { return };
+    let (out, mut queue) = mpsc::channel(65_536);
+    let pump = Pump {
+        stream,
+        role: Role::Server,
+        clock: Clock::start(),
+        rng: StdRng::seed_from_u64(0),
+        quiet: None,
+    };
+    let heard = async |heard| {
+        if let Heard::Text(text) = heard {
+            if let Ok(FromCaller::Setup { call, .. }) = FromCaller::decode(&text) {
+                let answer =
+                    ToCaller::Final { call, answer: Answer::Stands, come_back_ms: None, cause: None };
+                let text = answer.encode();
+                return out.try_send(Outgoing { number: 0, text, not_after_ns: None }).is_ok();
+            }
+        }
+        true
+    };
+    pump.run(&rest, &mut queue, heard).await;
+}
+
 impl Running {
     /// Stops its process for now, or lets it go on; a thread can't be.
     pub fn freeze(&self, on: bool) -> bool {
--- a/crates/lilacpitch-lab/src/lib.rs
+++ b/crates/lilacpitch-lab/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`record`] and [`judge`]: what stand-ins saw at their sockets, and the verdict on the five rules from it.
 //! - [`day`]: a day as a typed record; [`play`] plays it with real edge processes on loopback.
 //! - [`report`]: service by class, the worst ten seconds, latency.
+//! - [`load`]: how fast a front is, and what it costs.
 //!
 //! All figures are figures of simulated servers.
 #![forbid(unsafe_code)]
@@ -12,6 +13,7 @@
 pub mod day;
 pub mod edges;
 pub mod judge;
+pub mod load;
 pub mod model;
 pub mod play;
 pub mod record;
