--- a/crates/lilacpitch-edge/src/front/calls.rs
+++ b/crates/lilacpitch-edge/src/front/calls.rs
@@ -92,7 +92,8 @@
             id,
             class,
             first_choice,
-            budget_ns: asked.budget_ms * 1_000_000,
+            // The caller's time began when it sent, which may be before a standstill of this front.
+            budget_ns: (asked.budget_ms * 1_000_000).saturating_sub(self.standstill_ns()),
             dialled: asked.number.as_deref().map(dialled),
             width: 1.0,
             again: false,
--- a/crates/lilacpitch-edge/src/front/mod.rs
+++ b/crates/lilacpitch-edge/src/front/mod.rs
@@ -29,6 +29,9 @@
 use std::net::SocketAddr;
 use timers::{Timer, Timers};
 
+/// After a standstill of this front, what is read for so long may have waited through it.
+const CATCH_UP_NS: Nanos = 100_000_000;
+
 /// A caller's connection, by the number the shell gives it. Never given twice.
 pub type CallerId = u64;
 /// A connection to a server, by the number the front gives it. Never given twice.
@@ -136,6 +139,8 @@
     actions: Vec<Action>,
     stopping: bool,
     stopped: bool,
+    /// The last standstill of this front, and until when it may have kept messages waiting.
+    behind: (Nanos, Nanos),
     counters: Counters,
 }
 
@@ -170,6 +175,7 @@
             actions: Vec::new(),
             stopping: false,
             stopped: false,
+            behind: (0, 0),
             counters: Counters::default(),
             settings,
         }
@@ -178,6 +184,7 @@
     /// Takes one input and appends what is to be done. A clock that runs back stands still.
     pub fn handle(&mut self, now: Nanos, input: Input, effects: &mut Vec<Effect>) {
         self.now = self.now.max(now);
+        self.note_standstill();
         // What is due goes first: an answer that comes with its time-out comes too late.
         self.fire_due(effects);
         match input {
@@ -232,6 +239,25 @@
         self.callers.len()
     }
 
+    /// Timers that are late show that this front stood still: what is read next may have waited as long, and
+    /// its callers' time has run meanwhile.
+    fn note_standstill(&mut self) {
+        let late_ns = self.timers.first().map_or(0, |due| self.now.saturating_sub(due));
+        if late_ns > 2 * self.settings.timing.tick_ns {
+            self.behind = (late_ns.max(self.standstill_ns()), self.now + CATCH_UP_NS);
+        }
+    }
+
+    /// How long what is read now may have waited.
+    fn standstill_ns(&self) -> Nanos {
+        let (span, until) = self.behind;
+        if self.now < until {
+            span
+        } else {
+            0
+        }
+    }
+
     fn fire_due(&mut self, effects: &mut Vec<Effect>) {
         while let Some(timer) = self.timers.pop_due(self.now) {
             match timer {
--- a/crates/lilacpitch-edge/tests/hard_cases.rs
+++ b/crates/lilacpitch-edge/tests/hard_cases.rs
@@ -282,6 +282,26 @@
     assert!(of_short.iter().all(|m| !matches!(m, ToServer::Setup { .. })), "{of_short:?}");
 }
 
+#[test]
+fn what_waited_through_a_standstill_has_less_time_left() {
+    // Found on a drawn day: a call sent to a front that stood still was given its whole time from the reading on.
+    let (servers, edge) = two();
+    let mut caller = Caller::connect(&edge);
+    edge.signal(Signal::SIGSTOP);
+    std::thread::sleep(ms(100));
+    caller.setup("over", Some(0), 500);
+    std::thread::sleep(ms(1_500));
+    let thawed = Instant::now();
+    edge.signal(Signal::SIGCONT);
+    let (at, answer) = caller.answer("over");
+    assert_eq!(answer, Answer::Refused);
+    assert!(at - thawed < ms(200), "at once: {:?}", at - thawed);
+    assert_eq!(servers.all_within(ms(300)), vec![], "and nothing was sent for it");
+    caller.setup("next", Some(0), 3_000);
+    servers.all[0].answer(&servers.setup());
+    assert_eq!(caller.answer("next").1, Answer::Stands);
+}
+
 #[test]
 fn a_caller_that_does_not_read_is_cut_off_and_others_do_not_feel_it() {
     let servers = Servers::start(&[true]);
--- a/crates/lilacpitch-lab/src/cli.rs
+++ b/crates/lilacpitch-lab/src/cli.rs
@@ -1,11 +1,13 @@
 //! The command line of the laboratory.
 
 use clap::{Parser, Subcommand};
+use lilacpitch_edge::front::Guards;
 use lilacpitch_lab::day::{Day, DAY_SCHEMA};
 use lilacpitch_lab::edges::Program;
 use lilacpitch_lab::judge::{Breach, Rule};
 use lilacpitch_lab::load::load;
 use lilacpitch_lab::play::play;
+use lilacpitch_lab::virtual_day;
 use std::ffi::OsString;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -34,6 +36,17 @@
         #[arg(long, value_name = "FILE")]
         records: Option<PathBuf>,
     },
+    /// Play a day in virtual time, with the same front and models, for several seeds in turn.
+    Virtual {
+        /// The day's file.
+        file: PathBuf,
+        /// How many seeds, from the day's own on.
+        #[arg(long, default_value_t = 1)]
+        seeds: u64,
+        /// So many fronts in place of the day's, at the same load.
+        #[arg(long)]
+        edges: Option<usize>,
+    },
     /// Put a steady load on one front: what it adds to a call, what it costs, and the rate one core holds.
     Load {
         /// Calls a second.
@@ -69,6 +82,7 @@
         Command::Edge { args } => {
             lilacpitch_edge::cli::main(std::iter::once("lilacpitch-edge".into()).chain(args))
         }
+        Command::Virtual { file, seeds, edges } => done(virtual_days(&file, seeds, edges)),
         Command::Load { per_s, seconds, ramp, ramp_seconds, edge_program } => {
             let ramp = ramp.into_iter().map(|rate| (rate, ramp_seconds));
             done(load_all(std::iter::once((per_s, seconds)).chain(ramp), edge_program))
@@ -139,6 +153,21 @@
     Ok(kept)
 }
 
+fn virtual_days(file: &Path, seeds: u64, edges: Option<usize>) -> Result<bool, String> {
+    let mut day = Day::load(file).map_err(|e| format!("{}\n{e}", e.drawn()))?;
+    day.edges = edges.unwrap_or(day.edges);
+    let mut kept = true;
+    for _ in 0..seeds {
+        let begun = std::time::Instant::now();
+        let played = virtual_day::play(&day, Guards::default()).map_err(|e| e.to_string())?;
+        println!("seed {}, {} fronts, played in {:.1} s", day.seed, day.edges, begun.elapsed().as_secs_f64());
+        println!("{}", played.report);
+        kept &= verdict(&played.breaches);
+        day.seed += 1;
+    }
+    Ok(kept)
+}
+
 fn verdict(breaches: &[Breach]) -> bool {
     for rule in Rule::ALL {
         let broken: Vec<&Breach> = breaches.iter().filter(|b| b.rule == rule).collect();
--- a/crates/lilacpitch-lab/src/judge.rs
+++ b/crates/lilacpitch-lab/src/judge.rs
@@ -13,6 +13,9 @@
 /// Allowed for a message's way, and for the scheduling of a busy machine.
 pub const CROSSING_NS: Nanos = 20_000_000;
 
+/// How often fronts of the laboratory look at their list, and a little more.
+const LOOK_NS: Nanos = 100_000_000;
+
 /// The figures of the rules.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Figures {
@@ -172,10 +175,17 @@
                 let what = format!("{server} fell over, sent {multiple:.2} times what it could do");
                 self.breach(Rule::ColdServers, at, what);
             }
-            Seen::Frozen { edge } => self.frozen.entry(*edge).or_default().push((at, None)),
+            Seen::Frozen { edge } => {
+                let spans = self.frozen.entry(*edge).or_default();
+                match spans.last_mut() {
+                    // Frozen already, or it hardly ran meanwhile.
+                    Some((_, until)) if until.is_none_or(|until| at < until + LOOK_NS) => *until = None,
+                    _ => spans.push((at, None)),
+                }
+            }
             Seen::Thawed { edge } => {
                 if let Some((_, until)) = self.frozen.get_mut(edge).and_then(|spans| spans.last_mut()) {
-                    *until = Some(at);
+                    until.get_or_insert(at);
                 }
             }
         }
@@ -202,6 +212,14 @@
         thawed.unwrap_or(call.due_ns).max(call.due_ns) + CROSSING_NS
     }
 
+    /// When a front could read what was written at a moment, by the list or a caller: one that is frozen reads nothing until it runs
+    /// again, and one that froze just after may not have come to it.
+    fn told_ns(&self, edge: usize, written_ns: Nanos) -> Nanos {
+        let spans = self.frozen.get(&edge).into_iter().flatten();
+        let over = spans.filter(|(from, _)| *from <= written_ns + LOOK_NS).filter_map(|(_, until)| *until);
+        over.filter(|until| *until >= written_ns).max().unwrap_or(written_ns)
+    }
+
     fn answer(&mut self, at: Nanos, name: &str, answer: Answer) {
         let Some(call) = self.calls.get_mut(name) else {
             return self.breach(Rule::OneAnswer, at, format!("answer for {name}, which nobody offered"));
@@ -218,7 +236,7 @@
     }
 
     fn setup(&mut self, at: Nanos, server: &str, (edge, number): (usize, u64), name: &str, repeat: bool) {
-        let seen = self.drained.get(server).copied();
+        let seen = self.drained.get(server).map(|told| self.told_ns(edge, *told));
         if let Some(told) = seen.filter(|told| !repeat && at > told + self.figures.drain_grace_ns) {
             let after_ms = (at - told) / 1_000_000;
             let what =
@@ -232,7 +250,8 @@
                 format!("set-up at {server} for {name}, which nobody offered"),
             );
         };
-        let over = call.answers.first().map(|a| a.0).into_iter().chain(call.excused_ns).min();
+        let left_ns = call.excused_ns.map(|at| self.told_ns(edge, at));
+        let over = call.answers.first().map(|a| a.0).into_iter().chain(left_ns).min();
         if let Some(over) = over.filter(|over| at > over + CROSSING_NS) {
             let after_ms = (at - over) / 1_000_000;
             let what =
--- a/crates/lilacpitch-lab/src/lib.rs
+++ b/crates/lilacpitch-lab/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! - [`model`]: simulated servers and callers, without I/O, in whatever time they are handed.
 //! - [`record`] and [`judge`]: what stand-ins saw at their sockets, and the verdict on the five rules from it.
-//! - [`day`]: a day as a typed record; [`play`] plays it with real edge processes on loopback.
+//! - [`day`]: a day as a typed record; [`play`] plays it with real edge processes on loopback,
+//!   [`virtual_day`] with the same front and the same models in virtual time.
 //! - [`report`]: service by class, the worst ten seconds, latency.
 //! - [`load`]: how fast a front is, and what it costs.
 //!
@@ -19,5 +20,6 @@
 pub mod record;
 pub mod report;
 pub mod standin;
+pub mod virtual_day;
 
 mod callers;
--- a/crates/lilacpitch-lab/src/record.rs
+++ b/crates/lilacpitch-lab/src/record.rs
@@ -2,6 +2,7 @@
 
 use lilacpitch::interface::Nanos;
 use lilacpitch_protocol::message::call::Answer;
+use lilacpitch_protocol::message::signal::{FromServer, ToServer};
 use serde::{Deserialize, Serialize};
 
 /// One thing seen, and when, in nanoseconds of the laboratory's own clock.
@@ -131,3 +132,31 @@
 pub fn call_of(label: &str) -> &str {
     label.splitn(3, '/').nth(2).unwrap_or(label)
 }
+
+impl Seen {
+    /// What a server saw in a front's message. `known`: it has the attempt already.
+    pub fn read(server: &str, edge: usize, message: &ToServer, known: bool) -> Seen {
+        let server = server.to_string();
+        match message {
+            ToServer::Setup { attempt, call, repeat, .. } => Seen::Setup {
+                server,
+                edge,
+                attempt: *attempt,
+                call: call_of(call).to_string(),
+                repeat: *repeat > 0 && known,
+            },
+            ToServer::Cancel { attempt } => Seen::Ended { server, edge, attempt: *attempt, cancel: true },
+            ToServer::Release { attempt } => Seen::Ended { server, edge, attempt: *attempt, cancel: false },
+        }
+    }
+
+    /// What a server's own message did.
+    pub fn said(server: &str, edge: usize, message: &FromServer) -> Seen {
+        let (server, attempt) = (server.to_string(), message.attempt());
+        match message {
+            FromServer::Answer { .. } => Seen::Answered { server, edge, attempt, stands: true },
+            FromServer::Released { .. } => Seen::Ended { server, edge, attempt, cancel: false },
+            _ => Seen::Answered { server, edge, attempt, stands: false },
+        }
+    }
+}
--- /dev/null
+++ b/crates/lilacpitch-lab/src/virtual_day.rs
@@ -0,0 +1,530 @@
+//! A day in virtual time: the same front, the same servers and callers, and the same judge, without a socket.
+//!
+//! The same day and seed give the same records, so a failing seed is a reproducer; a day of hundreds of fronts
+//! plays in seconds. Messages take a drawn while and keep their order on a connection, as on TCP.
+
+use crate::day::{Day, Listed, Script, ServerEvent};
+use crate::judge::judge;
+use crate::model::caller::{Callers, Rate, Try};
+use crate::model::server::{Does, Server};
+use crate::play::Played;
+use crate::record::{Record, Seen};
+use crate::report::report;
+use lilacpitch::interface::Nanos;
+use lilacpitch_config::{ConfigError, Edge, Pools, ServerState};
+use lilacpitch_edge::front::{CallerId, Effect, Front, Guards, Input, LinkId};
+use lilacpitch_protocol::message::call::{Answer, FromCaller, ToCaller};
+use lilacpitch_protocol::message::signal::{FromServer, ToServer};
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+
+/// The day begins at this moment of the fronts' clocks.
+const START_NS: Nanos = 1_700_000_000_000_000_000;
+/// From the fronts' start to the first call.
+const LEAD_NS: Nanos = 1_000_000_000;
+/// A message takes this long at least, and up to as long again.
+const WAY_NS: Nanos = 1_000_000;
+/// The pool list's file is looked at so often.
+const LOOK_NS: Nanos = 50_000_000;
+/// After the last call came, answers are waited for this long.
+const AFTERMATH_NS: Nanos = 16_000_000_000;
+
+enum Happens {
+    ToFront(usize, Input),
+    Wake(usize),
+    Connect { front: usize, link: LinkId, server: usize },
+    ToServer { front: usize, link: LinkId, server: usize, text: String },
+    Hangup { front: usize, link: LinkId, server: usize },
+    Work(usize),
+    ToCaller { front: usize, caller: CallerId, text: String },
+    Arrival(usize),
+    Offer(usize, Try),
+    Release(usize, String),
+    ToServerItself(usize, ServerEvent),
+    List(usize, Listed),
+    Freeze(usize, bool),
+    Leave(usize),
+}
+
+struct FrontRow {
+    front: Front,
+    wake_ns: Option<Nanos>,
+    frozen: bool,
+    /// What came while it was frozen.
+    held: Vec<Input>,
+    caller: CallerId,
+    callers: Callers,
+    waiting: BTreeMap<String, Try>,
+    standing: BTreeMap<String, ()>,
+}
+
+struct ServerRow {
+    name: String,
+    model: Server,
+    dead: bool,
+    stopped: bool,
+    conns: BTreeMap<usize, LinkId>,
+    work_ns: Option<Nanos>,
+}
+
+struct World<'a> {
+    day: &'a Day,
+    script: &'a Script,
+    rng: Pcg64Mcg,
+    now: Nanos,
+    queue: BTreeMap<(Nanos, u64), Happens>,
+    serial: u64,
+    /// When the last message on each way arrives: a way from a front to a server, a server to a front, and
+    /// between a front and its callers.
+    last: BTreeMap<(u8, usize, usize), Nanos>,
+    fronts: Vec<FrontRow>,
+    servers: Vec<ServerRow>,
+    listed: Vec<Listed>,
+    rate: Rate,
+    connect_ns: Nanos,
+    records: Vec<Record>,
+    effects: Vec<Effect>,
+    does: Vec<Does>,
+}
+
+/// Plays a day in virtual time.
+pub fn play(day: &Day, guards: Guards) -> Result<Played, ConfigError> {
+    let script = day.script();
+    let mut world = World::new(day, &script, guards)?;
+    let end_ns = START_NS + day.length_ns + AFTERMATH_NS;
+    while let Some(((at, _), happens)) = world.queue.pop_first() {
+        if at > end_ns {
+            break;
+        }
+        world.now = at;
+        world.happen(happens);
+    }
+    let mut records = world.records;
+    records.iter_mut().for_each(|r| r.at_ns = r.at_ns.saturating_sub(START_NS));
+    let breaches = judge(&records, day.figures());
+    Ok(Played { report: report(day, &records, 0), breaches, records, used: Vec::new() })
+}
+
+impl<'a> World<'a> {
+    fn new(day: &'a Day, script: &'a Script, guards: Guards) -> Result<Self, ConfigError> {
+        let mut world = World {
+            day,
+            script,
+            rng: Pcg64Mcg::seed_from_u64(day.seed),
+            now: START_NS - LEAD_NS,
+            queue: BTreeMap::new(),
+            serial: 0,
+            last: BTreeMap::new(),
+            fronts: Vec::new(),
+            servers: Vec::new(),
+            listed: Vec::new(),
+            rate: day.rate(script),
+            connect_ns: 0,
+            records: Vec::new(),
+            effects: Vec::new(),
+            does: Vec::new(),
+        };
+        for (server, listed) in &script.servers {
+            let mut model = Server::new(day.make(server));
+            if !listed {
+                model.die();
+            }
+            world.servers.push(ServerRow {
+                name: server.name.clone(),
+                model,
+                dead: !listed,
+                stopped: false,
+                conns: BTreeMap::new(),
+                work_ns: None,
+            });
+            world.listed.push(if *listed { Listed::Running(None) } else { Listed::Gone });
+        }
+        for edge in 0..day.edges {
+            let settings =
+                Edge::from_text("a day's front", &day.edge_settings(edge, "-", "127.0.0.1:1"))?.value;
+            world.connect_ns = settings.timing.connect_ns;
+            let seed = day.seed.wrapping_mul(1000) + edge as u64;
+            let front = Front::with_guards(settings, world.now, world.rng.next_u64(), guards);
+            let callers = Callers::new(format!("e{edge}c"), day.habits(), day.pools().len(), seed);
+            world.fronts.push(FrontRow {
+                front,
+                wake_ns: None,
+                frozen: false,
+                held: Vec::new(),
+                caller: 1,
+                callers,
+                waiting: BTreeMap::new(),
+                standing: BTreeMap::new(),
+            });
+            world.feed(edge, Input::CallerOpened(1));
+            world.feed(edge, Input::PoolList(world.pools()));
+            world.at(START_NS, Happens::Arrival(edge));
+        }
+        for (at, server, event) in &script.server {
+            world.at(START_NS + at, Happens::ToServerItself(*server, *event));
+        }
+        for (at, server, listed) in &script.list {
+            world.at(START_NS + at, Happens::List(*server, *listed));
+        }
+        for (from, to, edge) in &script.freeze {
+            world.at(START_NS + from, Happens::Freeze(*edge, true));
+            world.at(START_NS + to, Happens::Freeze(*edge, false));
+        }
+        for (at, edge) in &script.leave {
+            world.at(START_NS + at, Happens::Leave(*edge));
+        }
+        Ok(world)
+    }
+
+    fn at(&mut self, at: Nanos, happens: Happens) {
+        self.serial += 1;
+        self.queue.insert((at.max(self.now), self.serial), happens);
+    }
+
+    fn record(&mut self, seen: Seen) {
+        self.records.push(Record { at_ns: self.now, seen });
+    }
+
+    /// When a message sent now arrives: after what was sent before it on the same way.
+    fn arrives(&mut self, way: (u8, usize, usize)) -> Nanos {
+        let drawn = self.rng.next_u64() % WAY_NS;
+        let last = self.last.entry(way).or_default();
+        *last = (self.now + WAY_NS + drawn).max(*last);
+        *last
+    }
+
+    fn pools(&self) -> Pools {
+        let rows = self.script.servers.iter().zip(&self.listed).enumerate();
+        let server = |(index, ((make, _), listed)): (usize, (&(crate::day::ServerMake, bool), &Listed))| {
+            let (state, started_ms) = match listed {
+                Listed::Running(None) => (ServerState::Running, 0),
+                Listed::Running(Some(at)) => (ServerState::Running, (START_NS + at) / 1_000_000),
+                Listed::Draining => (ServerState::Draining, 0),
+                Listed::Gone => return None,
+            };
+            Some(lilacpitch_config::Server {
+                name: make.name.clone(),
+                pool: make.pool.clone(),
+                zone: String::new(),
+                // The address stands for the server's place in the script.
+                address: SocketAddr::from((Ipv4Addr::LOCALHOST, index as u16 + 1)),
+                state,
+                started_ms,
+            })
+        };
+        Pools { servers: rows.filter_map(server).collect() }
+    }
+
+    fn happen(&mut self, happens: Happens) {
+        match happens {
+            Happens::ToFront(front, input) => self.feed(front, input),
+            Happens::Wake(front) => {
+                if self.fronts[front].wake_ns == Some(self.now) {
+                    self.fronts[front].wake_ns = None;
+                    self.feed(front, Input::Timeout);
+                }
+            }
+            Happens::Connect { front, link, server } => self.connected(front, link, server),
+            Happens::ToServer { front, link, server, text } => self.server_reads(front, link, server, &text),
+            Happens::Hangup { front, link, server } => {
+                if self.servers[server].conns.get(&front) == Some(&link) {
+                    self.drop_conn(server, front);
+                }
+            }
+            Happens::Work(server) => {
+                self.servers[server].work_ns = None;
+                let mut does = std::mem::take(&mut self.does);
+                self.servers[server].model.work(self.now, &mut does);
+                self.does = does;
+                self.server_does(server);
+            }
+            Happens::ToCaller { front, caller, text } => self.caller_reads(front, caller, &text),
+            Happens::Arrival(front) => self.arrival(front),
+            Happens::Offer(front, made) => self.offer(front, made),
+            Happens::Release(front, call) => {
+                if self.fronts[front].standing.remove(&call).is_some() {
+                    self.record(Seen::CallerEnded { call: call.clone() });
+                    self.say(front, &FromCaller::Release { call });
+                }
+            }
+            Happens::ToServerItself(server, event) => self.server_event(server, event),
+            Happens::List(server, listed) => self.list(server, listed),
+            Happens::Freeze(front, on) => self.freeze(front, on),
+            Happens::Leave(front) => self.leave(front),
+        }
+    }
+
+    // ---- Fronts ----
+
+    fn feed(&mut self, index: usize, input: Input) {
+        let row = &mut self.fronts[index];
+        if row.frozen {
+            row.held.push(input);
+            return;
+        }
+        let mut effects = std::mem::take(&mut self.effects);
+        row.front.handle(self.now, input, &mut effects);
+        for effect in effects.drain(..) {
+            self.carry_out(index, effect);
+        }
+        self.effects = effects;
+        let wanted = self.fronts[index].front.next_timeout();
+        if let Some(at) = wanted.filter(|at| self.fronts[index].wake_ns.is_none_or(|set| *at < set)) {
+            let at = at.max(self.now);
+            self.fronts[index].wake_ns = Some(at);
+            self.at(at, Happens::Wake(index));
+        }
+    }
+
+    fn carry_out(&mut self, front: usize, effect: Effect) {
+        match effect {
+            Effect::ToCaller(caller, text) => {
+                let at = self.arrives((0, front, 0));
+                self.at(at, Happens::ToCaller { front, caller, text });
+            }
+            Effect::Connect(link, address) => {
+                let server = usize::from(address.port()) - 1;
+                let at = self.arrives((1, front, server));
+                self.at(at, Happens::Connect { front, link, server });
+            }
+            Effect::ToServer { link, text, .. } => {
+                let on = self.servers.iter().position(|s| s.conns.get(&front) == Some(&link));
+                let Some(server) = on else { return };
+                let at = self.arrives((1, front, server));
+                self.at(at, Happens::ToServer { front, link, server, text });
+            }
+            Effect::Disconnect(link) => {
+                let on = self.servers.iter().position(|s| s.conns.get(&front) == Some(&link));
+                let Some(server) = on else { return };
+                let at = self.arrives((1, front, server));
+                self.at(at, Happens::Hangup { front, link, server });
+            }
+            Effect::Stopped => {}
+        }
+    }
+
+    fn connected(&mut self, front: usize, link: LinkId, server: usize) {
+        let row = &mut self.servers[server];
+        if row.dead && !row.stopped {
+            // Taken by the machine, answered by nobody: the front's own patience ends it.
+            return self.at(
+                self.now + self.connect_ns,
+                Happens::ToFront(front, Input::LinkDown { link, written: 0 }),
+            );
+        }
+        let input = if row.stopped {
+            Input::LinkDown { link, written: 0 }
+        } else {
+            row.conns.insert(front, link);
+            Input::LinkUp(link)
+        };
+        let at = self.arrives((2, server, front));
+        self.at(at, Happens::ToFront(front, input));
+    }
+
+    fn freeze(&mut self, front: usize, on: bool) {
+        self.fronts[front].frozen = on;
+        self.record(if on { Seen::Frozen { edge: front } } else { Seen::Thawed { edge: front } });
+        if !on {
+            for input in std::mem::take(&mut self.fronts[front].held) {
+                self.feed(front, input);
+            }
+            self.feed(front, Input::Timeout);
+        }
+    }
+
+    fn list(&mut self, server: usize, listed: Listed) {
+        self.listed[server] = listed;
+        let running = matches!(listed, Listed::Running(_));
+        self.record(Seen::Told { server: self.servers[server].name.clone(), running });
+        for front in 0..self.fronts.len() {
+            let look = self.rng.next_u64() % LOOK_NS;
+            let pools = self.pools();
+            // Looks are in step with the list: one made later shows what is in force then.
+            let way = (3, front, 0);
+            let last = self.last.get(&way).copied().unwrap_or(0);
+            let at = (self.now + look).max(last);
+            self.last.insert(way, at);
+            self.at(at, Happens::ToFront(front, Input::PoolList(pools)));
+        }
+    }
+
+    // ---- Servers ----
+
+    fn server_reads(&mut self, front: usize, link: LinkId, server: usize, text: &str) {
+        if self.servers[server].conns.get(&front) != Some(&link) {
+            return;
+        }
+        let Ok(message) = ToServer::decode(text) else { return };
+        let row = &self.servers[server];
+        let known = row.model.knows((front, message.attempt()));
+        self.record(Seen::read(&row.name.clone(), front, &message, known));
+        let mut does = std::mem::take(&mut self.does);
+        self.servers[server].model.hear(self.now, front, &message, &mut does);
+        self.does = does;
+        self.server_does(server);
+    }
+
+    fn server_does(&mut self, server: usize) {
+        for does in std::mem::take(&mut self.does) {
+            match does {
+                Does::Send(front, message) => self.server_sends(server, front, &message),
+                Does::Loses((edge, attempt)) => {
+                    let server = self.servers[server].name.clone();
+                    self.record(Seen::Answered { server, edge, attempt, stands: true });
+                }
+                Does::Falls(multiple) => {
+                    self.servers[server].dead = true;
+                    self.record(Seen::Fell { server: self.servers[server].name.clone(), multiple });
+                }
+            }
+        }
+        let row = &mut self.servers[server];
+        if let Some(at) = row.model.next_ns().filter(|at| row.work_ns.is_none_or(|set| *at < set)) {
+            row.work_ns = Some(at);
+            self.at(at, Happens::Work(server));
+        }
+    }
+
+    fn server_sends(&mut self, server: usize, front: usize, message: &FromServer) {
+        let Some(link) = self.servers[server].conns.get(&front).copied() else { return };
+        self.record(Seen::said(&self.servers[server].name.clone(), front, message));
+        let at = self.arrives((2, server, front));
+        self.at(at, Happens::ToFront(front, Input::LinkText(link, message.encode())));
+    }
+
+    fn drop_conn(&mut self, server: usize, front: usize) {
+        let row = &mut self.servers[server];
+        let Some(link) = row.conns.remove(&front) else { return };
+        row.model.drop_front(front);
+        let server_name = row.name.clone();
+        self.record(Seen::LinkEnded { server: server_name, edge: front });
+        let at = self.arrives((2, server, front));
+        self.at(at, Happens::ToFront(front, Input::LinkDown { link, written: u64::MAX }));
+    }
+
+    fn drop_all(&mut self, server: usize) {
+        let fronts: Vec<usize> = self.servers[server].conns.keys().copied().collect();
+        fronts.into_iter().for_each(|front| self.drop_conn(server, front));
+    }
+
+    fn server_event(&mut self, server: usize, event: ServerEvent) {
+        let (now, row) = (self.now, &mut self.servers[server]);
+        match event {
+            ServerEvent::Slow(times) => row.model.slow(times),
+            ServerEvent::Still(span) => row.model.stand_still(now + span),
+            ServerEvent::LoseAnswers(share) => row.model.lose_answers(share),
+            ServerEvent::Die => {
+                row.model.die();
+                row.dead = true;
+            }
+            ServerEvent::Start => {
+                row.model.start(now);
+                row.dead = false;
+                self.drop_all(server);
+            }
+            ServerEvent::Reset => self.drop_all(server),
+            ServerEvent::Stop => {
+                let cut = row.model.cut_all();
+                row.model.die();
+                (row.dead, row.stopped) = (true, true);
+                for (front, message) in cut {
+                    self.server_sends(server, front, &message);
+                }
+                self.drop_all(server);
+            }
+        }
+        self.server_does(server);
+    }
+
+    // ---- Callers ----
+
+    fn say(&mut self, front: usize, message: &FromCaller) {
+        let caller = self.fronts[front].caller;
+        let at = self.arrives((4, front, 0));
+        self.at(at, Happens::ToFront(front, Input::CallerText(caller, message.encode())));
+    }
+
+    fn arrival(&mut self, front: usize) {
+        let row = &mut self.fronts[front];
+        // The first is drawn from the day's start on, like all others.
+        let made = row.callers.next(&self.rate);
+        let next = row.callers.next_ns();
+        if made.first_ns > 0 {
+            self.offer(front, made);
+        }
+        if next < self.day.length_ns {
+            self.at(START_NS + next, Happens::Arrival(front));
+        }
+    }
+
+    fn offer(&mut self, front: usize, made: Try) {
+        if self.now >= START_NS + self.day.length_ns {
+            return;
+        }
+        let message = FromCaller::Setup {
+            call: made.call.clone(),
+            class: self.day.classes[made.class].name.clone(),
+            pool: self.day.pools().get(made.pool).cloned(),
+            number: Some(made.number.to_string()),
+            budget_ms: made.budget_ns / 1_000_000,
+        };
+        self.record(Seen::Offered {
+            call: made.call.clone(),
+            origin: made.origin.clone(),
+            edge: front,
+            class: made.class,
+            budget_ns: made.budget_ns,
+        });
+        self.fronts[front].waiting.insert(made.call.clone(), made);
+        self.say(front, &message);
+    }
+
+    fn caller_reads(&mut self, front: usize, caller: CallerId, text: &str) {
+        if self.fronts[front].caller != caller {
+            return;
+        }
+        match ToCaller::decode(text) {
+            Ok(ToCaller::Final { call, answer, come_back_ms, .. }) => {
+                self.record(Seen::Final { call: call.clone(), answer });
+                let row = &mut self.fronts[front];
+                let Some(made) = row.waiting.remove(&call) else { return };
+                if answer == Answer::Stands {
+                    row.standing.insert(call.clone(), ());
+                    self.at(self.now + made.hold_ns, Happens::Release(front, call));
+                } else {
+                    let day_ns = self.now - START_NS;
+                    if let Some((at, again)) = row.callers.again(day_ns, &made, answer, come_back_ms) {
+                        self.at(START_NS + at, Happens::Offer(front, again));
+                    }
+                }
+            }
+            Ok(ToCaller::Released { call, cause }) => {
+                self.fronts[front].standing.remove(&call);
+                self.record(Seen::Released { call, cut: cause != "ended" });
+            }
+            Ok(ToCaller::Error { call: Some(call), reason }) if reason != "no such call" => {
+                self.fronts[front].waiting.remove(&call);
+                self.record(Seen::NotTaken { call });
+            }
+            Ok(ToCaller::Error { .. }) => {}
+            Err(error) => panic!("a front's message that its own codec refuses: {text}: {error}"),
+        }
+    }
+
+    fn leave(&mut self, front: usize) {
+        let row = &mut self.fronts[front];
+        let gone = row.caller;
+        row.caller += 1;
+        let new = row.caller;
+        let calls = std::mem::take(&mut row.waiting).into_keys();
+        let calls: Vec<String> = calls.chain(std::mem::take(&mut row.standing).into_keys()).collect();
+        self.record(Seen::CallerGone { calls });
+        for input in [Input::CallerClosed(gone), Input::CallerOpened(new)] {
+            let at = self.arrives((4, front, 0));
+            self.at(at, Happens::ToFront(front, input));
+        }
+    }
+}
--- a/crates/lilacpitch-lab/tests/judge.rs
+++ b/crates/lilacpitch-lab/tests/judge.rs
@@ -231,6 +231,19 @@
         answer(5, "a", Answer::Stands),
     ];
     assert_eq!(rules(&full), vec![], "what never ran needs no rest");
+    let told_while_frozen = vec![
+        at(400, Seen::Frozen { edge: 0 }),
+        told(500, "r1", false),
+        at(1_500, Seen::Thawed { edge: 0 }),
+        offered(1_800, "a"),
+        setup(1_990, "r1", 1, "a"),
+        answered(1_995, "r1", 1, true),
+        answer(1_996, "a", Answer::Stands),
+    ];
+    assert_eq!(rules(&told_while_frozen), vec![], "a front that is stopped is told nothing");
+    let frozen_long_after =
+        [vec![at(1_000, Seen::Frozen { edge: 0 })], told_while_frozen[1..].to_vec()].concat();
+    assert_eq!(rules(&frozen_long_after), vec![Rule::Drains]);
     let late_but_thawed_long_ago = vec![
         offered(0, "a"),
         at(500, Seen::Frozen { edge: 0 }),
--- /dev/null
+++ b/crates/lilacpitch-lab/tests/virtual_days.rs
@@ -0,0 +1,116 @@
+//! Days in virtual time: the rules on drawn days, the same day twice, guards switched off.
+
+use lilacpitch_edge::front::Guards;
+use lilacpitch_lab::day::Day;
+use lilacpitch_lab::judge::Rule;
+use lilacpitch_lab::report::Report;
+use lilacpitch_lab::virtual_day::play;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+const KINDS: [&str; 10] = [
+    "slow",
+    "silent",
+    "still",
+    "drain",
+    "replace",
+    "jump",
+    "answers_lost",
+    "reset",
+    "freeze",
+    "callers_leave",
+];
+
+/// A day of 20 s as text: so many fronts and servers, and troubles of any kind, at any time, of any size.
+fn drawn_day() -> impl Strategy<Value = String> {
+    let trouble =
+        (proptest::sample::select(KINDS.to_vec()), 0..15_000u64, 200..9_000u64, 0.0..1.0f64, 0..5usize);
+    let troubles = proptest::collection::vec(trouble, 0..7);
+    (1..6usize, 2..5usize, 5.0..90.0f64, 0.4..1.3f64, troubles, any::<u32>()).prop_map(
+        |(edges, servers, per_s, load, troubles, seed)| {
+            let each = per_s / load / servers as f64;
+            let server = |i: usize| format!("{{name: \"r{i}\", pool: \"p{}\", per_s: {each:?}}}, ", i / 2);
+            let trouble = |(kind, at, span, size, server): &(&str, u64, u64, f64, usize)| {
+                let size = match *kind {
+                    "slow" => 1.5 + 8.0 * size,
+                    "still" => 50.0 + 600.0 * size,
+                    "jump" => 1.0 + 1.5 * size,
+                    _ => *size,
+                };
+                let server = server % servers;
+                format!(
+                    "\t{{kind: {kind:?}, at: \"{at}ms\", for: \"{span}ms\", size: {size:?}, \
+                     servers: [\"r{server}\"], edges: [{}]}},\n",
+                    server % edges
+                )
+            };
+            format!(
+                "seed: {seed}\nlength: \"20s\"\nedges: {edges}\nper_s: {per_s:?}\n\
+                 classes: [{{name: \"a\", aim: \"2s\", give_up: \"9s\", worth: 1, share: 0.8, hold: \"4s\"}}, \
+                 {{name: \"b\", aim: \"1.2s\", give_up: \"5s\", worth: 3, share: 0.2, hold: \"6s\"}}]\n\
+                 servers: [{}]\ntroubles: [\n{}]\n",
+                (0..servers).map(server).collect::<String>(),
+                troubles.iter().map(trouble).collect::<String>()
+            )
+        },
+    )
+}
+
+#[test]
+fn the_rules_are_kept_on_drawn_days() {
+    let cases = std::env::var("LILACPITCH_DAYS").ok().and_then(|n| n.parse().ok()).unwrap_or(60);
+    let config = Config { cases, failure_persistence: None, max_shrink_iters: 300, ..Config::default() };
+    let setups = std::cell::Cell::new(0);
+    TestRunner::new_with_rng(config, TestRng::from_seed(RngAlgorithm::ChaCha, &[11; 32]))
+        .run(&drawn_day(), |text| {
+            let day = Day::from_text("drawn", &text).unwrap();
+            let played = play(&day, Guards::default()).unwrap();
+            prop_assert!(played.breaches.is_empty(), "{:#?}\n{}", played.breaches, text);
+            setups.set(setups.get() + played.report.setups);
+            Ok(())
+        })
+        .unwrap();
+    assert!(setups.get() > u64::from(cases) * 200, "the days must be days: {} set-ups", setups.get());
+}
+
+fn bad_day() -> Day {
+    Day::from_text("bad.cue", include_str!("../../../days/bad.cue")).unwrap()
+}
+
+#[test]
+fn the_same_day_gives_the_same_records_and_another_seed_others() {
+    let (one, two) =
+        (play(&bad_day(), Guards::default()).unwrap(), play(&bad_day(), Guards::default()).unwrap());
+    assert!(one.records == two.records, "{} and {} records", one.records.len(), two.records.len());
+    assert_eq!(one.breaches, vec![]);
+    let other = play(&Day { seed: 99, ..bad_day() }, Guards::default()).unwrap();
+    assert!(one.records != other.records);
+}
+
+#[test]
+fn each_guard_switched_off_is_noticed() {
+    let cases = [
+        (Guards { one_attempt: false, ..Guards::default() }, Rule::OneAttempt),
+        (Guards { drains: false, ..Guards::default() }, Rule::Drains),
+        (Guards { one_answer: false, ..Guards::default() }, Rule::OneAnswer),
+        (Guards { release: false, ..Guards::default() }, Rule::Release),
+    ];
+    for (guards, rule) in cases {
+        let played = play(&bad_day(), guards).unwrap();
+        assert!(played.breaches.iter().any(|b| b.rule == rule), "{rule:?}: {:?}", played.breaches.first());
+    }
+}
+
+#[test]
+fn troubles_do_what_their_names_say() {
+    let quiet = Day { troubles: vec![], ..bad_day() };
+    let calm = play(&quiet, Guards::default()).unwrap().report;
+    assert!(calm.service > 0.97, "{calm}");
+    let p99 = |report: &Report| report.classes.iter().map(|c| c.setup_us.value_at_quantile(0.99)).max();
+    for trouble in bad_day().troubles {
+        let one = Day { troubles: vec![trouble.clone()], ..bad_day() };
+        let report = play(&one, Guards::default()).unwrap().report;
+        let worse = report.worst.0 < calm.worst.0 || p99(&report) > p99(&calm);
+        assert!(worse, "{:?} does nothing: {report}", trouble.kind);
+    }
+}
--- a/crates/lilacpitch-protocol/src/message/signal.rs
+++ b/crates/lilacpitch-protocol/src/message/signal.rs
@@ -128,6 +128,15 @@
     pub fn encode(&self) -> String {
         encode(self)
     }
+
+    /// The attempt it is about.
+    pub fn attempt(&self) -> u64 {
+        match self {
+            ToServer::Setup { attempt, .. }
+            | ToServer::Release { attempt }
+            | ToServer::Cancel { attempt } => *attempt,
+        }
+    }
 }
 
 impl FromServer {
