--- a/crates/lilacpitch/src/brain.rs
+++ b/crates/lilacpitch/src/brain.rs
@@ -4,7 +4,7 @@
 //! meant for it and those sent, over a sliding window, and reads the estimate against a ceiling that
 //! 'processor full' or a time-out set there. Past S1 the cheapest tier is refused, past S2 all non-urgent
 //! calls. What is left goes to the first choice, else to the one of two drawn with fewer set-ups unanswered.
-//! Below the mechanism stand its guards; `docs/design.md` says when each of them acts.
+//! Below the mechanism stand its guards; `docs/design/module.md` says when each of them acts.
 
 use crate::interface::*;
 use rand_core::{RngCore, SeedableRng};
@@ -159,7 +159,7 @@
     period: u64,
     servers: BTreeMap<ServerId, Server>,
     calls: BTreeMap<CallId, Row>,
-    /// Calls held or releasing, by when their patience or release ends: no event's cost depends on what stands.
+    /// Calls held or releasing, by when their patience or release ends; what stands costs no event anything.
     waiting: BTreeSet<(Nanos, CallId)>,
     /// Numbers dialled that were given no server, and when they were first tried.
     unserved: BTreeMap<u64, Nanos>,
@@ -342,8 +342,8 @@
     }
 
     /// The pool pick among the servers that the rules and the tiers leave: the first choice, else the one of
-    /// two drawn with fewer of this front's set-ups unanswered. Where several servers share the first choice's
-    /// number the two are drawn among those.
+    /// two drawn with fewer of this front's set-ups unanswered. Where several servers share the number of the
+    /// first choice, the two are drawn among those.
     fn pick(&mut self, id: CallId) -> Option<ServerId> {
         let row = self.calls.get(&id)?;
         let (mut first, mut open) = (Vec::new(), Vec::new());
