Fronts know each other: SWIM membership, sealed datagrams, questions and answers

Need: a new front shall ask running ones what they know; the ground is that fronts know of one another.

Change: crates/lilacpitch-peers, without I/O. Membership is SWIM by foca, datagrams are sealed with a shared key and guarded against replays, strangers, other versions and clocks apart; a front asks a few peers at its start and answers a bounded number.

--- /dev/null
+++ b/crates/lilacpitch-peers/src/lib.rs
@@ -0,0 +1,21 @@
+//! What fronts of one installation tell each other, without I/O: bytes, time and randomness in, effects out.
+//!
+//! - [`member`]: who is there, by SWIM (Das, Gupta and Motivala, DSN 2002) with suspicion and incarnations; the
+//!   protocol is that of the `foca` library, which does no I/O itself.
+//! - [`fact`]: what a front knows of servers, as it is told to one that has just started, with its age.
+//! - [`seal`]: datagrams sealed with a shared key, so that a stranger's, a changed one or an old one is dropped.
+//! - [`peers`]: the three together, and when to ask and to answer.
+//!
+//! Everything that comes in is data that may be late, wrong or missing: bounded, checked, counted when refused.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod fact;
+pub mod member;
+pub mod peers;
+pub mod seal;
+
+pub use fact::Fact;
+pub use member::PeerId;
+pub use peers::{Asker, Counters, Effect, Peers, Settings};
+pub use seal::{KeyError, Keys, Refused};
--- /dev/null
+++ b/crates/lilacpitch-peers/src/member.rs
@@ -0,0 +1,42 @@
+//! Who a front is among its peers.
+
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// Longest name of a front, in bytes.
+pub const MAX_NAME_BYTES: usize = 64;
+
+/// A front, in one of its lives.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct PeerId {
+    /// Its name in its settings.
+    pub name: String,
+    /// Where its datagrams come in. One front to an address.
+    pub address: SocketAddr,
+    /// When this life began, in nanoseconds since 1970; raised when it was declared dead and is not.
+    pub epoch: u64,
+}
+
+impl PeerId {
+    /// Whether it can be one.
+    pub fn is_sound(&self) -> bool {
+        self.name.len() <= MAX_NAME_BYTES && self.name.bytes().all(|b| b.is_ascii_graphic())
+    }
+}
+
+impl foca::Identity for PeerId {
+    type Addr = SocketAddr;
+
+    fn renew(&self) -> Option<Self> {
+        Some(PeerId { epoch: self.epoch + 1, ..self.clone() })
+    }
+
+    fn addr(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The later life wins: a front that restarts under its name and address replaces its former one.
+    fn win_addr_conflict(&self, adversary: &Self) -> bool {
+        (self.epoch, &self.name) > (adversary.epoch, &adversary.name)
+    }
+}
--- /dev/null
+++ b/crates/lilacpitch-peers/src/peers.rs
@@ -0,0 +1,406 @@
+//! A front's side of the talk among fronts: membership, questions and answers.
+
+use crate::fact::{Fact, FACTS_A_DATAGRAM, MAX_FACTS};
+use crate::member::PeerId;
+use crate::seal::{Heard, Keys, Refused, MAX_DATAGRAM_BYTES, MAX_SKEW_MS, OVERHEAD_BYTES};
+use foca::{Config, Foca, NoCustomBroadcast, Notification, PostcardCodec, Runtime, Timer};
+use lilacpitch::interface::Nanos;
+use rand::rngs::StdRng;
+use rand::{Rng, RngExt, SeedableRng};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::num::{NonZeroU32, NonZeroUsize};
+use std::time::Duration;
+
+const MS: Nanos = 1_000_000;
+/// What our own header may take beside SWIM's packet.
+const HEADER_BYTES: usize = 160;
+/// Peers asked at a time: enough that one that is wrong is outvoted.
+const ASKED_AT_ONCE: usize = 3;
+/// The gaps between questions double from here,
+const ASK_GAP_NS: Nanos = 300 * MS;
+/// and after this span since the start nobody is asked any more: the front knows by itself.
+const ASK_FOR_NS: Nanos = 20_000 * MS;
+/// With so many answers the asking ends.
+const ANSWERS_ENOUGH: usize = 3;
+/// Questions answered a second, and at once: fronts that start together must not make their peers work.
+const ANSWERS_PER_S: u64 = 20;
+/// Members that are remembered, seeds beside.
+const MAX_MEMBERS: usize = 1_000;
+
+/// What a front is told of itself and its peers.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Its name.
+    pub name: String,
+    /// Where its datagrams come in, as peers reach it.
+    pub address: SocketAddr,
+    /// Where peers may be found at the start; its own address is passed over.
+    pub seeds: Vec<SocketAddr>,
+    /// The keys in force.
+    pub keys: Keys,
+    /// About how many fronts there are: sets how far news is spread and how long suspicion lasts.
+    pub fronts: u32,
+}
+
+/// Who asked, and how its question is to be answered.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Asker {
+    peer: PeerId,
+    question: u64,
+}
+
+/// What the shell or the front is to do.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Effect {
+    /// Send a datagram.
+    Send(SocketAddr, Vec<u8>),
+    /// A peer is there.
+    Joined(PeerId),
+    /// A peer is gone: left, or taken to be dead.
+    Left(PeerId),
+    /// A peer asks what this front knows: to be answered by [`Peers::answer`].
+    Asked(Asker),
+    /// A peer says what it knows, as it was asked.
+    Told(PeerId, Vec<Fact>),
+}
+
+/// What has been counted.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Counters {
+    /// Datagrams sent, and their bytes.
+    pub sent: (u64, u64),
+    /// Datagrams taken.
+    pub taken: u64,
+    /// Datagrams refused, by reason.
+    pub refused: BTreeMap<Refused, u64>,
+    /// Questions asked, and answers taken.
+    pub asked: (u64, u64),
+    /// Questions answered.
+    pub answered: u64,
+}
+
+#[derive(Serialize, Deserialize)]
+struct Envelope<'a> {
+    from: PeerId,
+    counter: u64,
+    sent_ms: u64,
+    #[serde(borrow)]
+    body: Body<'a>,
+}
+
+#[derive(Serialize, Deserialize)]
+enum Body<'a> {
+    Swim(&'a [u8]),
+    Ask { question: u64 },
+    Facts { question: u64, part: u8, facts: Vec<Fact> },
+}
+
+enum Due {
+    Swim(Timer<PeerId>),
+    Ask,
+}
+
+/// One front's view of its peers.
+pub struct Peers {
+    swim: Foca<PeerId, PostcardCodec, StdRng, NoCustomBroadcast>,
+    settings: Settings,
+    me: PeerId,
+    rng: StdRng,
+    now: Nanos,
+    started_ns: Nanos,
+    due: BTreeMap<(Nanos, u64), Due>,
+    serial: u64,
+    counter: u64,
+    heard: Heard<SocketAddr>,
+    /// The question that is out, who answered it which parts, and the gap to the next.
+    question: u64,
+    answers: BTreeMap<PeerId, BTreeSet<u8>>,
+    ask_gap_ns: Nanos,
+    /// Answers that may still be given now, in billionths of one.
+    allowance: u64,
+    allowance_ns: Nanos,
+    counters: Counters,
+}
+
+/// What SWIM wants done, gathered while it is in use.
+#[derive(Default)]
+struct Gathered {
+    send: Vec<(PeerId, Vec<u8>)>,
+    later: Vec<(Timer<PeerId>, Duration)>,
+    effects: Vec<Effect>,
+    me: Option<PeerId>,
+}
+
+impl Runtime<PeerId> for Gathered {
+    fn notify(&mut self, notification: Notification<'_, PeerId>) {
+        match notification {
+            Notification::MemberUp(peer) => self.effects.push(Effect::Joined(peer.clone())),
+            Notification::MemberDown(peer) => self.effects.push(Effect::Left(peer.clone())),
+            Notification::Rejoin(me) => self.me = Some(me.clone()),
+            _ => {}
+        }
+    }
+
+    fn send_to(&mut self, to: PeerId, data: &[u8]) {
+        self.send.push((to, data.to_vec()));
+    }
+
+    fn submit_after(&mut self, event: Timer<PeerId>, after: Duration) {
+        self.later.push((event, after));
+    }
+}
+
+impl Peers {
+    /// A front that knows its settings. `now`: nanoseconds since 1970, which tell its lives apart.
+    pub fn new(settings: Settings, now: Nanos, seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let me = PeerId { name: settings.name.clone(), address: settings.address, epoch: now };
+        let fronts = NonZeroU32::new(settings.fronts.max(2)).unwrap_or(NonZeroU32::MIN);
+        let room = MAX_DATAGRAM_BYTES - OVERHEAD_BYTES - HEADER_BYTES;
+        let config = Config {
+            max_packet_size: NonZeroUsize::new(room).unwrap_or(NonZeroUsize::MIN),
+            ..Config::new_lan(fronts)
+        };
+        let swim = Foca::new(me.clone(), config, StdRng::seed_from_u64(rng.next_u64()), PostcardCodec);
+        Peers {
+            swim,
+            settings,
+            me,
+            rng,
+            now,
+            started_ns: now,
+            due: BTreeMap::new(),
+            serial: 0,
+            counter: 0,
+            heard: Heard::default(),
+            question: 0,
+            answers: BTreeMap::new(),
+            ask_gap_ns: ASK_GAP_NS,
+            allowance: ANSWERS_PER_S * 1_000_000_000,
+            allowance_ns: now,
+            counters: Counters::default(),
+        }
+    }
+
+    /// Makes itself known to the seeds, and asks.
+    pub fn start(&mut self, now: Nanos, effects: &mut Vec<Effect>) {
+        self.now = self.now.max(now);
+        for address in self.seeds() {
+            let seed = PeerId { name: String::new(), address, epoch: 0 };
+            self.with_swim(effects, |swim, out| swim.announce(seed, out));
+        }
+        self.ask(effects);
+    }
+
+    /// Tells the others that it goes.
+    pub fn leave(&mut self, now: Nanos, effects: &mut Vec<Effect>) {
+        self.now = self.now.max(now);
+        self.with_swim(effects, |swim, out| swim.leave_cluster(out));
+        self.due.clear();
+    }
+
+    /// Puts other keys into force.
+    pub fn rekey(&mut self, keys: Keys) {
+        self.settings.keys = keys;
+    }
+
+    /// The peers that are there, in order.
+    pub fn members(&self) -> Vec<PeerId> {
+        let mut members: Vec<PeerId> = self.swim.iter_members().map(|m| m.id().clone()).collect();
+        members.sort();
+        members
+    }
+
+    /// What has been counted.
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    /// When [`timeout`](Self::timeout) is wanted next.
+    pub fn next_timeout(&self) -> Option<Nanos> {
+        self.due.first_key_value().map(|((at, _), _)| *at)
+    }
+
+    /// Does what is due by now.
+    pub fn timeout(&mut self, now: Nanos, effects: &mut Vec<Effect>) {
+        self.now = self.now.max(now);
+        while let Some(entry) = self.due.first_entry().filter(|e| e.key().0 <= self.now) {
+            match entry.remove() {
+                Due::Swim(timer) => self.with_swim(effects, |swim, out| swim.handle_timer(timer, out)),
+                Due::Ask => self.ask(effects),
+            }
+        }
+    }
+
+    /// Takes a datagram, or says why not; a refusal is counted.
+    pub fn datagram(&mut self, now: Nanos, bytes: &[u8], effects: &mut Vec<Effect>) -> Result<(), Refused> {
+        self.now = self.now.max(now);
+        let taken = self.take(bytes, effects);
+        match taken {
+            Ok(()) => self.counters.taken += 1,
+            Err(refused) => *self.counters.refused.entry(refused).or_default() += 1,
+        }
+        taken
+    }
+
+    fn take(&mut self, bytes: &[u8], effects: &mut Vec<Effect>) -> Result<(), Refused> {
+        let plain = self.settings.keys.open(bytes)?;
+        let envelope: Envelope =
+            postcard::from_bytes(&plain).map_err(|_| Refused::Malformed("not an envelope"))?;
+        let from = envelope.from;
+        if !from.is_sound() {
+            return Err(Refused::Malformed("a front's name"));
+        }
+        if from.address == self.me.address {
+            return Err(Refused::Own);
+        }
+        if envelope.sent_ms.abs_diff(self.now / MS) > MAX_SKEW_MS {
+            return Err(Refused::Clock);
+        }
+        self.heard.enter(&from.address, from.epoch, envelope.counter, self.now / MS)?;
+        match envelope.body {
+            Body::Swim(data) => {
+                if self.swim.num_members() >= MAX_MEMBERS && !self.is_member(from.address) {
+                    return Err(Refused::TooMany);
+                }
+                let mut bad = false;
+                self.with_swim(effects, |swim, out| {
+                    let taken = swim.handle_data(data, out);
+                    bad = matches!(taken, Err(foca::Error::Decode(_) | foca::Error::MalformedPacket));
+                    taken
+                });
+                if bad {
+                    Err(Refused::Malformed("membership"))
+                } else {
+                    Ok(())
+                }
+            }
+            Body::Ask { question } => {
+                self.refill();
+                if self.allowance < 1_000_000_000 {
+                    return Err(Refused::TooOften);
+                }
+                self.allowance -= 1_000_000_000;
+                effects.push(Effect::Asked(Asker { peer: from, question }));
+                Ok(())
+            }
+            Body::Facts { question, part, facts } => self.facts(from, question, part, facts, effects),
+        }
+    }
+
+    fn facts(
+        &mut self,
+        from: PeerId,
+        question: u64,
+        part: u8,
+        facts: Vec<Fact>,
+        effects: &mut Vec<Effect>,
+    ) -> Result<(), Refused> {
+        // Each part once from each peer: one that talks much must not weigh more.
+        if question != self.question || usize::from(part) >= MAX_FACTS / FACTS_A_DATAGRAM {
+            return Err(Refused::Unasked);
+        }
+        if facts.len() > FACTS_A_DATAGRAM {
+            return Err(Refused::Malformed("too many facts"));
+        }
+        facts.iter().try_for_each(Fact::check)?;
+        if !self.answers.entry(from.clone()).or_default().insert(part) {
+            return Err(Refused::Unasked);
+        }
+        self.counters.asked.1 += 1;
+        effects.push(Effect::Told(from, facts));
+        Ok(())
+    }
+
+    /// Answers a peer's question with what this front knows, the most telling first.
+    pub fn answer(&mut self, now: Nanos, asker: Asker, facts: Vec<Fact>, effects: &mut Vec<Effect>) {
+        self.now = self.now.max(now);
+        self.counters.answered += 1;
+        for (part, facts) in facts[..facts.len().min(MAX_FACTS)].chunks(FACTS_A_DATAGRAM).enumerate() {
+            let body = Body::Facts { question: asker.question, part: part as u8, facts: facts.to_vec() };
+            self.send(asker.peer.address, body, effects);
+        }
+    }
+
+    /// Asks a few that have not answered yet, drawn from the members, or the seeds while there are none.
+    fn ask(&mut self, effects: &mut Vec<Effect>) {
+        let answered = self.answers.len() >= ANSWERS_ENOUGH;
+        if answered || self.now > self.started_ns + ASK_FOR_NS {
+            return;
+        }
+        if self.question == 0 {
+            self.question = self.rng.next_u64() | 1;
+        }
+        let members: Vec<SocketAddr> = self.members().iter().map(|m| m.address).collect();
+        let mut from = if members.is_empty() { self.seeds() } else { members };
+        from.retain(|address| !self.answers.keys().any(|peer| peer.address == *address));
+        for _ in 0..ASKED_AT_ONCE.min(from.len()) {
+            let to = from.swap_remove(self.rng.random_range(0..from.len()));
+            self.counters.asked.0 += 1;
+            self.send(to, Body::Ask { question: self.question }, effects);
+        }
+        // Half of the gap is drawn: fronts that start together must not ask in step.
+        let gap = self.ask_gap_ns / 2 + self.rng.random_range(0..=self.ask_gap_ns / 2);
+        self.ask_gap_ns = self.ask_gap_ns.saturating_mul(2);
+        self.later(gap, Due::Ask);
+    }
+
+    fn seeds(&self) -> Vec<SocketAddr> {
+        self.settings.seeds.iter().copied().filter(|a| *a != self.me.address).collect()
+    }
+
+    fn is_member(&self, address: SocketAddr) -> bool {
+        self.swim.iter_members().any(|m| m.id().address == address)
+    }
+
+    fn refill(&mut self) {
+        let gained = self.now.saturating_sub(self.allowance_ns).saturating_mul(ANSWERS_PER_S);
+        self.allowance = self.allowance.saturating_add(gained).min(ANSWERS_PER_S * 1_000_000_000);
+        self.allowance_ns = self.now;
+    }
+
+    fn later(&mut self, after: Nanos, due: Due) {
+        self.serial += 1;
+        self.due.insert((self.now + after, self.serial), due);
+    }
+
+    /// Lets SWIM act, then does what it wants. Its errors are of its peers' making, and were counted by reason.
+    fn with_swim(
+        &mut self,
+        effects: &mut Vec<Effect>,
+        act: impl FnOnce(
+            &mut Foca<PeerId, PostcardCodec, StdRng, NoCustomBroadcast>,
+            &mut Gathered,
+        ) -> Result<(), foca::Error>,
+    ) {
+        let mut out = Gathered::default();
+        let _ = act(&mut self.swim, &mut out);
+        if let Some(me) = out.me {
+            self.me = me;
+        }
+        for (timer, after) in out.later {
+            self.later(after.as_nanos() as Nanos, Due::Swim(timer));
+        }
+        for (to, data) in out.send {
+            self.send(to.address, Body::Swim(&data), effects);
+        }
+        effects.append(&mut out.effects);
+    }
+
+    fn send(&mut self, to: SocketAddr, body: Body, effects: &mut Vec<Effect>) {
+        self.counter += 1;
+        let envelope =
+            Envelope { from: self.me.clone(), counter: self.counter, sent_ms: self.now / MS, body };
+        // Into memory nothing fails.
+        let plain = postcard::to_allocvec(&envelope).unwrap_or_default();
+        let mut nonce = [0; 24];
+        self.rng.fill_bytes(&mut nonce);
+        let sealed = self.settings.keys.seal(&plain, nonce);
+        debug_assert!(sealed.len() <= MAX_DATAGRAM_BYTES, "{} bytes", sealed.len());
+        self.counters.sent.0 += 1;
+        self.counters.sent.1 += sealed.len() as u64;
+        effects.push(Effect::Send(to, sealed));
+    }
+}
--- /dev/null
+++ b/crates/lilacpitch-peers/src/seal.rs
@@ -0,0 +1,196 @@
+//! Sealed datagrams: XChaCha20-Poly1305 with a key that all fronts share (RFC 8439, and the extended nonce of
+//! draft-irtf-cfrg-xchacha), a counter for each life of a sender against replays, and the moment of sending.
+
+use chacha20poly1305::aead::{Aead, KeyInit, Payload};
+use chacha20poly1305::{XChaCha20Poly1305, XNonce};
+use std::collections::BTreeMap;
+use thiserror::Error;
+
+/// The version of the datagrams' form, their first byte.
+pub const VERSION: u8 = 1;
+/// Longest datagram: what a path of 1,500 bytes carries over IPv6 and UDP.
+pub const MAX_DATAGRAM_BYTES: usize = 1_452;
+/// What sealing adds: version, nonce, tag.
+pub const OVERHEAD_BYTES: usize = 1 + NONCE_BYTES + 16;
+const NONCE_BYTES: usize = 24;
+/// A datagram sent longer ago than this, by its sender's clock, or so far in the future is refused.
+pub const MAX_SKEW_MS: u64 = 60_000;
+/// Senders whose counters are kept.
+const MAX_SENDERS: usize = 1_024;
+
+/// Why a datagram was refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Error)]
+pub enum Refused {
+    /// Longer than [`MAX_DATAGRAM_BYTES`].
+    #[error("over {MAX_DATAGRAM_BYTES} bytes")]
+    TooLong,
+    /// Too short to be sealed.
+    #[error("cut short")]
+    TooShort,
+    /// Of another version: an older or a newer front.
+    #[error("version {0} in place of {VERSION}")]
+    Version(u8),
+    /// Sealed with no key in force, or changed on its way.
+    #[error("not sealed with a key in force")]
+    Forged,
+    /// Sealed, but not of the form.
+    #[error("malformed: {0}")]
+    Malformed(&'static str),
+    /// Seen before, or of a former life of its sender.
+    #[error("replayed")]
+    Replayed,
+    /// Its sender's clock and this one are too far apart, or it is old.
+    #[error("sent over a minute ago or ahead, by its sender's clock")]
+    Clock,
+    /// From this front itself.
+    #[error("from this front itself")]
+    Own,
+    /// An answer to a question that was not asked, or answered already.
+    #[error("not asked for")]
+    Unasked,
+    /// More questions than are answered.
+    #[error("asked too often")]
+    TooOften,
+    /// More senders than are kept.
+    #[error("too many senders")]
+    TooMany,
+}
+
+/// What is wrong with a key file.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum KeyError {
+    /// A line that is no key.
+    #[error("line {0}: not 64 hex digits")]
+    Line(usize),
+    /// None, or more than two.
+    #[error("{0} keys, wanted one or two")]
+    Count(usize),
+}
+
+/// The keys in force: the first seals, all open. Two during a change.
+#[derive(Clone)]
+pub struct Keys(Vec<XChaCha20Poly1305>);
+
+impl std::fmt::Debug for Keys {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "Keys({})", self.0.len())
+    }
+}
+
+impl Keys {
+    /// Reads a key file: a key a line as 64 hex digits, one or two; empty lines and lines from `#` on are passed
+    /// over.
+    pub fn from_text(text: &str) -> Result<Self, KeyError> {
+        let mut keys = Vec::new();
+        for (index, line) in text.lines().enumerate() {
+            let line = line.trim();
+            if line.is_empty() || line.starts_with('#') {
+                continue;
+            }
+            let key = hex(line).ok_or(KeyError::Line(index + 1))?;
+            keys.push(XChaCha20Poly1305::new((&key).into()));
+        }
+        match keys.len() {
+            1 | 2 => Ok(Keys(keys)),
+            count => Err(KeyError::Count(count)),
+        }
+    }
+
+    /// Seals with the first key. The nonce must be random: it is never counted.
+    pub fn seal(&self, plain: &[u8], nonce: [u8; NONCE_BYTES]) -> Vec<u8> {
+        let mut out = vec![VERSION];
+        out.extend(nonce);
+        let payload = Payload { msg: plain, aad: &[VERSION] };
+        // Fails past 256 GiB only.
+        out.extend(self.0[0].encrypt(XNonce::from_slice(&nonce), payload).unwrap_or_default());
+        out
+    }
+
+    /// Opens with whichever key fits.
+    pub fn open(&self, bytes: &[u8]) -> Result<Vec<u8>, Refused> {
+        if bytes.len() > MAX_DATAGRAM_BYTES {
+            return Err(Refused::TooLong);
+        }
+        // The version first: what follows may mean something else in another.
+        match bytes.first() {
+            None => return Err(Refused::TooShort),
+            Some(&VERSION) => {}
+            Some(version) => return Err(Refused::Version(*version)),
+        }
+        if bytes.len() < OVERHEAD_BYTES {
+            return Err(Refused::TooShort);
+        }
+        let (nonce, sealed) = bytes[1..].split_at(NONCE_BYTES);
+        let payload = |_| Payload { msg: sealed, aad: &[VERSION] };
+        let mut open = self.0.iter().map(|key| key.decrypt(XNonce::from_slice(nonce), payload(())));
+        open.find_map(Result::ok).ok_or(Refused::Forged)
+    }
+}
+
+fn hex(line: &str) -> Option<[u8; 32]> {
+    let mut key = [0; 32];
+    if line.len() != 64 || !line.bytes().all(|b| b.is_ascii_hexdigit()) {
+        return None;
+    }
+    for (byte, pair) in key.iter_mut().zip(line.as_bytes().chunks(2)) {
+        *byte = u8::from_str_radix(std::str::from_utf8(pair).ok()?, 16).ok()?;
+    }
+    Some(key)
+}
+
+/// What has been heard of each sender: its latest life, which of its counters, and when last.
+#[derive(Debug)]
+pub struct Heard<S: Ord>(BTreeMap<S, Sender>);
+
+#[derive(Debug)]
+struct Sender {
+    epoch: u64,
+    highest: u64,
+    /// Bit n: the counter n below the highest was heard.
+    seen: u128,
+    last_ms: u64,
+}
+
+impl<S: Ord> Default for Heard<S> {
+    fn default() -> Self {
+        Heard(BTreeMap::new())
+    }
+}
+
+impl<S: Ord + Clone> Heard<S> {
+    /// Enters a counter of a sender's life; an error if it was heard before or is too old to tell.
+    pub fn enter(&mut self, sender: &S, epoch: u64, counter: u64, now_ms: u64) -> Result<(), Refused> {
+        let first = Sender { epoch, highest: counter, seen: 1, last_ms: now_ms };
+        let Some(known) = self.0.get_mut(sender) else {
+            if self.0.len() >= MAX_SENDERS {
+                // What such a sender sent would be refused for its age by now.
+                self.0.retain(|_, s| now_ms.saturating_sub(s.last_ms) <= 2 * MAX_SKEW_MS);
+            }
+            if self.0.len() >= MAX_SENDERS {
+                return Err(Refused::TooMany);
+            }
+            self.0.insert(sender.clone(), first);
+            return Ok(());
+        };
+        known.last_ms = now_ms;
+        if epoch > known.epoch {
+            *known = first;
+            return Ok(());
+        }
+        if epoch < known.epoch {
+            return Err(Refused::Replayed);
+        }
+        if counter > known.highest {
+            let ahead = counter - known.highest;
+            known.seen = if ahead >= 128 { 1 } else { (known.seen << ahead) | 1 };
+            known.highest = counter;
+            return Ok(());
+        }
+        let behind = known.highest - counter;
+        if behind >= 128 || known.seen & (1 << behind) != 0 {
+            return Err(Refused::Replayed);
+        }
+        known.seen |= 1 << behind;
+        Ok(())
+    }
+}
