The module takes and gives facts about servers: careful until own counts exist

Need: a front that starts knows nothing; its first calls land on slow, silent or cold servers.

Change: Controller::facts hands out what own set-ups showed, hearsay apart (a test found it passed on: told waits looked like own ones). Event::Told keeps each peer's word with its age; a mean over the voices, each by its freshness and against one that finds nothing wrong, begins the delay, suspects, marks cold, and paces first choices, only until this front has seen four set-ups stand.

--- a/crates/lilacpitch/src/brain.rs
+++ b/crates/lilacpitch/src/brain.rs
@@ -76,6 +76,11 @@
 /// The rest between live calls to a suspect begins at the normal distance there, and doubles so often.
 const TRIAL_DOUBLINGS: u32 = 4;
 
+/// What another front tells counts less with its age, and nothing past this.
+const FACT_NS: Nanos = WINDOW_NS * 10;
+/// Against what others tell stands the weight of one that finds nothing wrong: no peer alone carries it.
+const NOTHING_WRONG: f64 = 1.0;
+
 /// Set-ups of one kind at one server, each by its period: those of the window, or the last FEW of them.
 #[derive(Default)]
 struct Count(VecDeque<u64>);
@@ -161,6 +166,8 @@
     calls: BTreeMap<CallId, Row>,
     /// Calls held or releasing, by when their patience or release ends; what stands costs no event anything.
     waiting: BTreeSet<(Nanos, CallId)>,
+    /// What other fronts told of servers, by server and front, and as of when.
+    told: BTreeMap<(ServerId, u64), (Nanos, Fact)>,
     /// Numbers dialled that were given no server, and when they were first tried.
     unserved: BTreeMap<u64, Nanos>,
     /// Numbers whose lines were all busy, and until when they rest.
@@ -186,6 +193,7 @@
             servers: BTreeMap::new(),
             calls: BTreeMap::new(),
             waiting: BTreeSet::new(),
+            told: BTreeMap::new(),
             unserved: BTreeMap::new(),
             busy: BTreeMap::new(),
             top_worth,
@@ -215,6 +223,7 @@
                     self.on_settled(call, attempt, outcome, actions);
                 }
             }
+            Event::Told { peer, facts } => self.on_told(peer, facts),
             Event::Reported { server, report } => self.on_report(server, report),
             Event::Wake => {}
         }
@@ -258,6 +267,7 @@
             let patience_ns = classes.iter().map(|c| c.deadline_ns).max().unwrap_or(0);
             self.unserved.retain(|_, first| now - *first < patience_ns);
             self.busy.retain(|_, until_ns| now < *until_ns + WINDOW_NS);
+            self.told.retain(|_, (as_of, _)| now.saturating_sub(*as_of) < FACT_NS);
             self.stall_ns = share(self.stall_ns, STALL_KEPT.powi(passed.min(1000) as i32));
         }
         self.period = period;
@@ -322,6 +332,7 @@
         if self.now < server.told_wait_until_ns
             || server.suspect.is_some_and(rests)
             || !self.cold_room(server)
+            || !self.told_room(server)
         {
             return true;
         }
@@ -812,6 +823,73 @@
         self.now.saturating_sub(server.sent_ns) as f64 * ceiling >= 1e9
     }
 
+    /// What this front knows of servers from its own set-ups; hearsay is not passed on.
+    pub fn facts(&self) -> Vec<Fact> {
+        let fact = |server: &Server| {
+            let stood_ns = server.stood.0.back().map_or(0, |period| period * PERIOD_NS);
+            let seen_ns = Some(server.symptom_ns.max(stood_ns)).filter(|seen| *seen > 0)?;
+            let normal = self.normal_per_s(server).max(f64::MIN_POSITIVE);
+            Some(Fact {
+                server: server.entry.server,
+                age_ns: self.now.saturating_sub(seen_ns),
+                wait_ns: self.expected_wait_ns(server),
+                ceiling_share: server.ceiling_per_s.map(|ceiling| ceiling / normal),
+                suspect: server.suspect.is_some(),
+                cold_ns: server.cold_since_ns.map(|at| self.now.saturating_sub(at)),
+                drained: !server.in_service(),
+            })
+        };
+        self.servers.values().filter_map(fact).collect()
+    }
+
+    /// Facts of others stand in for own counts until there are some, and only ever make this front more
+    /// careful: the wait told begins the delay, a server that most call silent or drained gets single live
+    /// calls, one that most call cold its cold share. They may be old or their teller confused: `voices`.
+    fn on_told(&mut self, peer: u64, facts: Vec<Fact>) {
+        let (now, longest_ns) = (self.now, share(self.gap_ns, 2.0 * WAIT_GAPS_2));
+        for fact in facts {
+            let id = fact.server;
+            self.told.insert((id, peer), (now.saturating_sub(fact.age_ns), fact));
+            let Some(server) = self.servers.get(&id).filter(|s| s.stood.0.len() < FEW) else { continue };
+            let of = |value: &dyn Fn(&Fact) -> f64| self.voices(id, value, 0.0);
+            let wait_ns = of(&|f| f.wait_ns.min(longest_ns) as f64) as Nanos;
+            let silent = of(&|f| f64::from(u8::from(f.suspect || f.drained))) > 0.5;
+            let cold =
+                of(&|f| f64::from(u8::from(f.cold_ns.is_some_and(|n| n < self.settings.cold_ns)))) > 0.5;
+            let (told, young) = (self.told.range((id, 0)..=(id, u64::MAX)), server.cold_since_ns);
+            let since = told.filter_map(|(_, (_, f))| f.cold_ns).min().map(|age| now.saturating_sub(age));
+            if silent {
+                self.suspect(id);
+            }
+            self.servers.entry(id).and_modify(|s| {
+                (s.delay_ns, s.heard_ns) = (s.delay_ns.max(wait_ns), now);
+                s.cold_since_ns = if cold { since.max(young) } else { young };
+            });
+        }
+    }
+
+    /// The mean of what other fronts tell of a server, each by its freshness, against one that tells `calm`.
+    fn voices(&self, id: ServerId, value: &dyn Fn(&Fact) -> f64, calm: f64) -> f64 {
+        let (mut sum, mut weight) = (calm * NOTHING_WRONG, NOTHING_WRONG);
+        for (_, (as_of, fact)) in self.told.range((id, 0)..=(id, u64::MAX)) {
+            let fresh = 1.0 - (self.now.saturating_sub(*as_of) as f64 / FACT_NS as f64).min(1.0);
+            (sum, weight) = (sum + fresh * value(fact), weight + fresh);
+        }
+        sum / weight
+    }
+
+    /// A server that others hold at a ceiling gets that share of what is meant for it, paced, until own
+    /// counts tell more.
+    fn told_room(&self, server: &Server) -> bool {
+        let id = server.entry.server;
+        if self.told.is_empty() || server.stood.0.len() >= FEW {
+            return true;
+        }
+        let share = self.voices(id, &|f| f.ceiling_share.unwrap_or(1.0).min(1.0), 1.0);
+        let rate = share * self.per_s(&server.offered, 0.0);
+        share > S2 || self.now.saturating_sub(server.sent_ns) as f64 * rate >= 1e9
+    }
+
     /// A silent server also shows few unanswered once its attempts have ended: it gets single live calls.
     fn suspect(&mut self, id: ServerId) {
         let drawn = 0.5 + self.drawn();
--- a/crates/lilacpitch/src/interface.rs
+++ b/crates/lilacpitch/src/interface.rs
@@ -182,6 +182,25 @@
     }
 }
 
+/// What one front knows of a server, for another that has just started.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Fact {
+    /// The server.
+    pub server: ServerId,
+    /// How old the newest evidence is.
+    pub age_ns: Nanos,
+    /// The wait expected there.
+    pub wait_ns: Nanos,
+    /// The ceiling in force there, as a share of the teller's normal rate.
+    pub ceiling_share: Option<f64>,
+    /// Taken to be silent.
+    pub suspect: bool,
+    /// Since when it is cold, as a span until now.
+    pub cold_ns: Option<Nanos>,
+    /// Listed as draining or gone.
+    pub drained: bool,
+}
+
 /// What happens to a front.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Event {
@@ -215,6 +234,13 @@
         /// The server's figures.
         report: Report,
     },
+    /// Another front, by a number of its own, says what it knows.
+    Told {
+        /// The front.
+        peer: u64,
+        /// Its facts.
+        facts: Vec<Fact>,
+    },
     /// A server's figures by themselves.
     Reported {
         /// The server.
--- a/crates/lilacpitch/tests/mechanism.rs
+++ b/crates/lilacpitch/tests/mechanism.rs
@@ -483,3 +483,127 @@
     let (_, actions) = front.call(1);
     assert!(timeout(&actions).is_some_and(|t| t > 2_800 * MS), "forgotten minutes later");
 }
+
+// ---- What other fronts tell ----
+
+fn calm(server: ServerId) -> Fact {
+    Fact {
+        server,
+        age_ns: 100 * MS,
+        wait_ns: 20 * MS,
+        ceiling_share: None,
+        suspect: false,
+        cold_ns: None,
+        drained: false,
+    }
+}
+
+/// First choices of server 11 that a new front sends there of ten, a third of a second apart, after these words.
+fn sent_there(words: &[Fact]) -> usize {
+    let mut front = Front::new(settings(), &two());
+    for (peer, fact) in words.iter().enumerate() {
+        front.event(Event::Told { peer: peer as u64, facts: vec![*fact] });
+    }
+    let mut there = 0;
+    for _ in 0..10 {
+        let (id, actions) = front.call(0);
+        let to = sent_to(&actions, id).expect("somewhere");
+        // Server 11 stays silent for as long, so that nothing of its own is known.
+        if to == 22 {
+            front.pass(20 * MS);
+            front.stands(id, 0);
+        } else {
+            there += 1;
+            front.event(Event::CallerGone(id));
+        }
+        front.pass(330 * MS);
+    }
+    there
+}
+
+#[test]
+fn what_most_tell_of_a_server_holds_a_new_front_back_and_no_one_alone_does() {
+    let silent = Fact { suspect: true, ..calm(11) };
+    let slow = Fact { ceiling_share: Some(0.1), ..calm(11) };
+    let all = sent_there(&[]);
+    assert_eq!(all, 10, "nobody tells anything: as ever");
+    assert_eq!(sent_there(&[calm(11), calm(11), calm(11)]), 10);
+    assert!(sent_there(&[silent, silent, silent]) <= 2, "three call it silent");
+    assert_eq!(sent_there(&[silent]), 10, "one alone can't make it so");
+    assert_eq!(sent_there(&[silent, calm(11), calm(11)]), 10, "nor one against two");
+    let held = sent_there(&[slow, slow, slow]);
+    assert!((1..=5).contains(&held), "a share of it: {held}");
+    assert!(sent_there(&[slow, calm(11), calm(11)]) > held);
+    let drained = Fact { drained: true, ..calm(11) };
+    assert!(sent_there(&[drained, drained]) <= 2);
+}
+
+#[test]
+fn facts_fade_with_their_age() {
+    let old = Fact { age_ns: 31 * S, suspect: true, ..calm(11) };
+    assert_eq!(sent_there(&[old, old, old]), 10);
+    let older = Fact { age_ns: 20 * S, ceiling_share: Some(0.0), ..calm(11) };
+    let fresh = Fact { age_ns: 0, ..older };
+    assert!(sent_there(&[older; 3]) >= sent_there(&[fresh; 3]));
+    assert!(sent_there(&[older; 3]) > 1, "{}", sent_there(&[older; 3]));
+}
+
+#[test]
+fn a_fact_makes_nothing_usable_that_is_not() {
+    let mut list = two();
+    list[0].availability = Availability::Draining;
+    let mut front = Front::new(settings(), &list);
+    let fine = Fact { ceiling_share: Some(1e6), wait_ns: 0, ..calm(11) };
+    (0..9).for_each(|peer| drop(front.event(Event::Told { peer, facts: vec![fine] })));
+    let (id, actions) = front.call(1);
+    assert_eq!(sent_to(&actions, id), Some(22), "draining stays draining");
+    // A cold server gets no more than without.
+    let sends = |told: bool| {
+        let mut front = Front::new(settings(), &two());
+        front.steady(100 * MS, 6 * S);
+        let back = Entry { up_since_ns: front.now, ..entry(11, 1) };
+        front.event(Event::List(News::Changes(vec![back])));
+        if told {
+            (0..9).for_each(|peer| drop(front.event(Event::Told { peer, facts: vec![fine] })));
+        }
+        let from = front.now;
+        front.steady(100 * MS, 3 * S);
+        let to_11 = |a: &Action| matches!(a, Action::Send { server: 11, .. });
+        front.log.iter().filter(|(at, a)| *at > from && to_11(a)).count()
+    };
+    assert!(sends(true) <= sends(false), "{} {}", sends(true), sends(false));
+    assert!(sends(false) < 30);
+}
+
+#[test]
+fn a_server_that_most_call_cold_gets_its_cold_share() {
+    let cold = Fact { cold_ns: Some(S), ..calm(11) };
+    let mut front = Front::new(settings(), &two());
+    (0..3).for_each(|peer| drop(front.event(Event::Told { peer, facts: vec![cold] })));
+    let facts = |front: &mut Front| {
+        let (id, actions) = front.call_with(|c| c.first_choice = 2);
+        assert_eq!(sent_to(&actions, id), Some(22));
+        front.pass(20 * MS);
+        front.stands(id, 0);
+        front.brain.facts()
+    };
+    // Own facts speak of what this front itself has seen, and of nothing it was told.
+    let own = facts(&mut front);
+    assert_eq!(own.len(), 1);
+    assert_eq!((own[0].server, own[0].suspect, own[0].cold_ns), (22, false, None));
+    // It answers at once; all the same it is used like a cold one, far below what is meant for it.
+    let to_11 = |front: &mut Front| {
+        let mut count = 0;
+        for _ in 0..12 {
+            let (id, actions) = front.call(0);
+            count += usize::from(sent_to(&actions, id) == Some(11));
+            front.pass(20 * MS);
+            front.stands(id, 0);
+            front.pass(180 * MS);
+        }
+        count
+    };
+    let told = to_11(&mut front);
+    let untold = to_11(&mut Front::new(settings(), &two()));
+    assert!((1..=6).contains(&told) && untold == 12, "{told} told, {untold} untold");
+}
