Held calls in lines of those alike; fronts ask each other over UDP

Need also: the talk among fronts on real sockets.

Change: held calls that the pick can't tell apart stand in one line, and its first is asked for all. The edge opens a UDP socket for its peers, takes facts from them and answers with its own; keys are re-read when their file changes; lilacpitch-edge peers shows the view. Attempts' numbers no longer begin at 1, so that a restarted front's are not those of its former life. Two fronts with one name were one voice (found by a test); voices go by address.

--- a/crates/lilacpitch-config/src/edge.rs
+++ b/crates/lilacpitch-config/src/edge.rs
@@ -26,6 +26,8 @@
     /// How often it is looked at.
     #[serde(deserialize_with = "de_duration", rename = "look_at_pool_list_every")]
     pub look_ns: u64,
+    /// Other fronts.
+    pub peers: Option<PeersOf>,
     /// Classes of calls, in the order that gives them their numbers.
     pub classes: Vec<Class>,
     /// Figures of the rules.
@@ -38,6 +40,19 @@
     pub log: Log,
 }
 
+/// Other fronts of the installation.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct PeersOf {
+    /// Where their datagrams come in.
+    pub listen: SocketAddr,
+    /// Where some may be found.
+    pub seeds: Vec<SocketAddr>,
+    /// The file of keys.
+    pub key_file: String,
+    /// About how many there are.
+    pub fronts: u32,
+}
+
 /// A class of calls.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 pub struct Class {
@@ -145,6 +160,9 @@
         if let Some(folder) = path.parent() {
             let list = folder.join(&loaded.value.pool_list);
             loaded.value.pool_list = list.display().to_string();
+            if let Some(peers) = &mut loaded.value.peers {
+                peers.key_file = folder.join(&peers.key_file).display().to_string();
+            }
         }
         Ok(loaded)
     }
--- a/crates/lilacpitch-config/src/lib.rs
+++ b/crates/lilacpitch-config/src/lib.rs
@@ -28,7 +28,7 @@
 mod unify;
 mod value;
 
-pub use edge::{Class, Edge, Limits, LogFormat, Rules, Timing, EDGE_SCHEMA};
+pub use edge::{Class, Edge, Limits, LogFormat, PeersOf, Rules, Timing, EDGE_SCHEMA};
 pub use error::{ConfigError, Problem};
 pub use pools::{Pools, Server, ServerState};
 
--- a/crates/lilacpitch-config/src/schema/edge.cue
+++ b/crates/lilacpitch-config/src/schema/edge.cue
@@ -31,6 +31,9 @@
 	pool_list: string & !=""
 	look_at_pool_list_every: *"100ms" | #Span
 
+	// Other fronts of the installation: left out, this front knows of none.
+	peers?: #PeersOf
+
 	classes: [#Class, ...#Class]
 
 	rules: {
@@ -79,6 +82,16 @@
 	}
 }
 
+#PeersOf: {
+	// Where their datagrams come in, and where some of them may be found at the start.
+	listen: #Address
+	seeds: *[] | [...#Address]
+	// A file with one or two keys, each 64 hex digits on a line: the first seals, both open.
+	key_file: string & !=""
+	// About how many fronts there are.
+	fronts: *16 | int & >=2 & <=1000
+}
+
 // The pool list.
 #Server: {
 	// Its name, never given to another machine.
--- a/crates/lilacpitch-edge/src/cli.rs
+++ b/crates/lilacpitch-edge/src/cli.rs
@@ -34,6 +34,12 @@
         #[arg(long, value_name = "FILE")]
         config: PathBuf,
     },
+    /// Show which other fronts a running front sees, and what it refused of them.
+    Peers {
+        /// The front's metrics address.
+        #[arg(long, value_name = "ADDRESS")]
+        metrics: std::net::SocketAddr,
+    },
     /// Print the schema of settings and pool lists, with comments and defaults.
     Schema,
 }
@@ -51,6 +57,7 @@
     };
     let done = match args.command {
         Command::Run { config } => return run(&config),
+        Command::Peers { metrics } => return peers(metrics),
         Command::Check { config } => check(&config).map(|said| say(&said)),
         Command::Schema => {
             say(EDGE_SCHEMA.trim_end());
@@ -73,6 +80,39 @@
     let _ = writeln!(out, "{line}").and_then(|()| out.flush());
 }
 
+fn peers(metrics: std::net::SocketAddr) -> ExitCode {
+    match fetch(metrics, "/peers") {
+        Ok(page) => {
+            say(page.trim_end());
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("lilacpitch-edge: {metrics}: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+/// The body of a page that a running front serves.
+fn fetch(address: std::net::SocketAddr, target: &str) -> std::io::Result<String> {
+    use std::io::Read;
+    let patience = std::time::Duration::from_secs(5);
+    let mut stream = std::net::TcpStream::connect_timeout(&address, patience)?;
+    stream.set_read_timeout(Some(patience))?;
+    write!(stream, "GET {target} HTTP/1.1\r\nHost: {address}\r\n\r\n")?;
+    let mut bytes = Vec::new();
+    stream.take(1 << 20).read_to_end(&mut bytes)?;
+    let wrong = |what: String| std::io::Error::other(what);
+    match lilacpitch_protocol::http::response(&bytes) {
+        Ok(Some((head, taken))) if head.status == 200 => {
+            Ok(String::from_utf8_lossy(&bytes[taken..]).into_owned())
+        }
+        Ok(Some((head, _))) => Err(wrong(format!("status {}", head.status))),
+        Ok(None) => Err(wrong("no answer".into())),
+        Err(error) => Err(wrong(error.to_string())),
+    }
+}
+
 fn check(config: &Path) -> Result<String, ConfigError> {
     let edge = Edge::load(config)?.value;
     let pools = Pools::load(Path::new(&edge.pool_list))?;
--- a/crates/lilacpitch-edge/src/front/counters.rs
+++ b/crates/lilacpitch-edge/src/front/counters.rs
@@ -46,5 +46,6 @@
     links_lost: "Connections to servers lost or not made.",
     pool_lists_taken: "Pool lists taken.",
     pool_list_refused: "Pool lists that could not be read.",
+    facts_told: "Facts about servers told by other fronts.",
     callers_cut_off: "Callers cut off for not reading.",
 }
--- /dev/null
+++ b/crates/lilacpitch-edge/src/front/facts.rs
@@ -0,0 +1,61 @@
+//! Facts about servers, between the module's ids and the names that other fronts know.
+
+use super::Front;
+use lilacpitch::interface::{self, Nanos};
+use lilacpitch::Event;
+use lilacpitch_peers::Fact;
+
+/// Other fronts that are told apart: more than an installation has.
+const MAX_PEERS: usize = 1_000;
+const MS: Nanos = 1_000_000;
+
+impl Front {
+    /// What this front knows of servers from its own set-ups.
+    pub fn facts(&self) -> Vec<Fact> {
+        let ms = |ns: Nanos| u32::try_from(ns / MS).unwrap_or(u32::MAX);
+        let named = |fact: interface::Fact| {
+            Some(Fact {
+                server: self.servers.rows.get(&fact.server)?.name.clone(),
+                age_ms: ms(fact.age_ns),
+                wait_ms: ms(fact.wait_ns),
+                ceiling_share: fact.ceiling_share.map(|share| share.min(1e6) as f32),
+                suspect: fact.suspect,
+                // Warm for long is of no use to anybody.
+                cold_ms: fact.cold_ns.filter(|ns| *ns < self.settings.rules.cold_span_ns).map(ms),
+                drained: fact.drained,
+            })
+        };
+        let mut facts: Vec<Fact> = self.brain.facts().into_iter().filter_map(named).collect();
+        // Past an hour a fact is none.
+        facts.retain(|fact| fact.check().is_ok());
+        // The most telling first, should there be more than are told.
+        facts.sort_by_key(|fact| {
+            (!fact.suspect, fact.cold_ms.is_none(), fact.ceiling_share.is_none(), fact.age_ms)
+        });
+        facts
+    }
+
+    /// Hands the module what another front told, of servers that this front's own list names.
+    pub(super) fn on_told(&mut self, peer: &str, facts: Vec<Fact>) {
+        if !self.peers.contains_key(peer) && self.peers.len() >= MAX_PEERS {
+            return;
+        }
+        let next = self.peers.len() as u64;
+        let peer = *self.peers.entry(peer.to_string()).or_insert(next);
+        let known = |fact: Fact| {
+            let server = self.servers.known(&fact.server)?;
+            Some(interface::Fact {
+                server,
+                age_ns: Nanos::from(fact.age_ms) * MS,
+                wait_ns: Nanos::from(fact.wait_ms) * MS,
+                ceiling_share: fact.ceiling_share.map(f64::from),
+                suspect: fact.suspect,
+                cold_ns: fact.cold_ms.map(|ms| Nanos::from(ms) * MS),
+                drained: fact.drained,
+            })
+        };
+        let facts: Vec<interface::Fact> = facts.into_iter().filter_map(known).collect();
+        self.counters.facts_told += facts.len() as u64;
+        self.follow.push_back(Event::Told { peer, facts });
+    }
+}
--- a/crates/lilacpitch-edge/src/front/links.rs
+++ b/crates/lilacpitch-edge/src/front/links.rs
@@ -68,6 +68,11 @@
         *self.ids.entry(name.to_string()).or_insert(next)
     }
 
+    /// The id of a name that was listed.
+    pub fn known(&self, name: &str) -> Option<ServerId> {
+        self.ids.get(name).copied()
+    }
+
     pub fn in_service(&self, id: ServerId) -> bool {
         self.rows.get(&id).is_some_and(|row| row.entry.availability == Availability::Ready)
     }
--- a/crates/lilacpitch-edge/src/front/mod.rs
+++ b/crates/lilacpitch-edge/src/front/mod.rs
@@ -8,6 +8,7 @@
 
 mod calls;
 mod counters;
+mod facts;
 mod links;
 mod pools;
 mod site;
@@ -68,6 +69,8 @@
     },
     /// The pool list was read, and has changed.
     PoolList(Pools),
+    /// Another front, by its address, says what it knows of servers.
+    Told(String, Vec<lilacpitch_peers::Fact>),
     /// The operator asks the front to stop.
     Stop,
     /// Time has passed.
@@ -141,6 +144,8 @@
     stopped: bool,
     /// The last standstill of this front, and until when it may have kept messages waiting.
     behind: (Nanos, Nanos),
+    /// Numbers of other fronts, by name.
+    peers: BTreeMap<String, u64>,
     counters: Counters,
 }
 
@@ -170,12 +175,14 @@
             servers: Servers::default(),
             timers: Timers::default(),
             next_call: 1,
-            next_attempt: 1,
+            // Above those of a former life, which servers may still have: no front sends a thousand a millisecond.
+            next_attempt: now / 1_000_000 * 1_000,
             follow: VecDeque::new(),
             actions: Vec::new(),
             stopping: false,
             stopped: false,
             behind: (0, 0),
+            peers: BTreeMap::new(),
             counters: Counters::default(),
             settings,
         }
@@ -198,6 +205,7 @@
             Input::LinkDown { link, written } => self.on_link_down(link, written, effects),
             Input::NotWritten { link, message } => self.on_not_written(link, message, effects),
             Input::PoolList(pools) => self.on_pool_list(&pools, effects),
+            Input::Told(peer, facts) => self.on_told(&peer, facts),
             Input::Stop => self.on_stop(effects),
             Input::Timeout => {}
         }
--- a/crates/lilacpitch-edge/src/net/driver.rs
+++ b/crates/lilacpitch-edge/src/net/driver.rs
@@ -1,9 +1,11 @@
 //! The driver: the one task that owns the front, and the tasks of connections around it.
 
 use super::pump::{open, serve_handshake, Heard, Outgoing, Pump};
-use super::{metrics, pool_file, Clock};
+use super::talk::Talk;
+use super::{file, metrics, Clock};
 use crate::front::{CallerId, Effect, Front, Guards, Input, LinkId};
 use lilacpitch_config::{ConfigError, Edge, Pools};
+use lilacpitch_peers::Keys;
 use lilacpitch_protocol::frame::Role;
 use lilacpitch_protocol::handshake;
 use rand::rngs::StdRng;
@@ -37,6 +39,9 @@
     /// The file of the pool list can't be looked at.
     #[error("{0}: {1}")]
     PoolFile(String, std::io::Error),
+    /// The key file of peers can't be read.
+    #[error("{0}")]
+    Keys(String),
     /// The machine gave no signal handler or no randomness.
     #[error("{0}")]
     Machine(String),
@@ -56,7 +61,10 @@
     Input(Input),
     PoolList(Pools),
     PoolListRefused(String),
+    Keys(Keys),
+    KeysRefused(String),
     Metrics(oneshot::Sender<String>),
+    Peers(oneshot::Sender<String>),
 }
 
 /// A connection's queue and its task.
@@ -75,6 +83,7 @@
     links: BTreeMap<LinkId, Peer>,
     next_caller: CallerId,
     effects: Vec<Effect>,
+    talk: Option<Talk>,
     stopped: bool,
 }
 
@@ -89,7 +98,7 @@
     let callers = listener.local_addr().map_err(|e| RunError::Listen(settings.listen, e))?;
     let (news, mut inbox) = mpsc::channel(NEWS_QUEUE);
     let list = settings.pool_list.clone();
-    let seen = pool_file::state(&list).map_err(|e| RunError::PoolFile(list.clone(), e))?;
+    let seen = file::state(&list).map_err(|e| RunError::PoolFile(list.clone(), e))?;
     let pools = Pools::load(Path::new(&list))?.value;
     let metrics = match settings.metrics {
         None => None,
@@ -101,9 +110,19 @@
         }
     };
     let every = Duration::from_nanos(settings.look_ns);
-    tokio::task::spawn_local(pool_file::watch(list, every, seen, news.clone()));
+    let read = |path: &str| match Pools::load(Path::new(path)) {
+        Ok(pools) => Ok(News::PoolList(pools.value)),
+        Err(error) => Err(error.to_string()),
+    };
+    tokio::task::spawn_local(file::watch(list, every, seen, news.clone(), read, News::PoolListRefused));
     let clock = Clock::start();
     let mut rng = StdRng::try_from_os_rng().map_err(|e| RunError::Machine(format!("no randomness: {e}")))?;
+    let talk = match &settings.peers {
+        None => None,
+        Some(peers) => {
+            Some(Talk::open(&settings.name, peers, clock.now(), rng.next_u64(), every, &news).await?)
+        }
+    };
     let front = Front::with_guards(settings.clone(), clock.now(), rng.next_u64(), guards);
     let mut driver = Driver {
         front,
@@ -115,15 +134,19 @@
         links: BTreeMap::new(),
         next_caller: 1,
         effects: Vec::new(),
+        talk,
         stopped: false,
     };
     driver.feed(Input::PoolList(pools));
+    driver.talk(|talk, now, out| talk.peers.start(now, out));
     ready(Ready { callers, metrics });
     tracing::info!(%callers, ?metrics, "listening");
     let mut stop = std::pin::pin!(stop);
     let (mut stopping, mut round) = (false, Vec::new());
     while !driver.stopped {
-        let due = driver.front.next_timeout().map(|at| driver.clock.instant(at));
+        let talk_due = driver.talk.as_ref().and_then(|talk| talk.peers.next_timeout());
+        let due = driver.front.next_timeout().into_iter().chain(talk_due).min();
+        let due = due.map(|at| driver.clock.instant(at));
         tokio::select! {
             count = inbox.recv_many(&mut round, ROUND) => {
                 debug_assert!(count > 0, "the driver holds a sender itself");
@@ -139,10 +162,13 @@
             },
             _ = tokio::time::sleep_until(due.unwrap_or_else(tokio::time::Instant::now)), if due.is_some() => {
                 driver.feed(Input::Timeout);
+                driver.talk(|talk, now, out| talk.peers.timeout(now, out));
             }
+            datagram = Talk::receive(&driver.talk) => driver.datagram(&datagram),
             _ = &mut stop, if !stopping => {
                 stopping = true;
                 driver.feed(Input::Stop);
+                driver.talk(|talk, now, out| talk.peers.leave(now, out));
             }
         }
     }
@@ -171,6 +197,14 @@
                 tracing::error!(why, "pool list refused, the one in hand stays in force");
                 self.front.pool_list_refused();
             }
+            News::Keys(keys) => {
+                tracing::info!("keys of peers taken");
+                self.talk(|talk, _, _| talk.peers.rekey(keys));
+            }
+            News::KeysRefused(why) => {
+                tracing::error!(why, "keys of peers refused, those in hand stay in force")
+            }
+            News::Peers(give) => drop(give.send(self.talk.as_ref().map_or_else(String::new, Talk::page))),
             // Who asked may have gone.
             News::Metrics(give) => drop(give.send(metrics::page(&self.front))),
         }
@@ -185,6 +219,42 @@
         self.effects = effects;
     }
 
+    /// Lets the talk among fronts act, and does what it wants; without peers nothing happens.
+    fn talk(&mut self, act: impl FnOnce(&mut Talk, u64, &mut Vec<lilacpitch_peers::Effect>)) {
+        let Some(talk) = &mut self.talk else { return };
+        let mut out = Vec::new();
+        act(talk, self.clock.now(), &mut out);
+        self.talked(out);
+    }
+
+    fn talked(&mut self, out: Vec<lilacpitch_peers::Effect>) {
+        use lilacpitch_peers::Effect as Said;
+        for effect in out {
+            match effect {
+                Said::Send(to, bytes) => self.talk.iter().for_each(|talk| talk.send(to, &bytes)),
+                Said::Asked(asker) => {
+                    let facts = self.front.facts();
+                    self.talk(|talk, now, out| talk.peers.answer(now, asker, facts, out));
+                }
+                // By its address: two fronts that were given one name by mistake are two voices all the same.
+                Said::Told(peer, facts) => self.feed(Input::Told(peer.address.to_string(), facts)),
+                Said::Joined(peer) => {
+                    tracing::info!(peer = peer.name, address = %peer.address, "peer is there")
+                }
+                Said::Left(peer) => tracing::info!(peer = peer.name, address = %peer.address, "peer is gone"),
+            }
+        }
+    }
+
+    fn datagram(&mut self, bytes: &[u8]) {
+        let Some(talk) = &mut self.talk else { return };
+        let mut out = Vec::new();
+        if let Err(refused) = talk.peers.datagram(self.clock.now(), bytes, &mut out) {
+            tracing::debug!(%refused, "datagram refused");
+        }
+        self.talked(out);
+    }
+
     fn carry_out(&mut self, effect: Effect) {
         match effect {
             Effect::ToCaller(caller, text) => {
--- a/crates/lilacpitch-edge/src/net/pool_file.rs
+++ b/crates/lilacpitch-edge/src/net/file.rs
@@ -1,17 +1,23 @@
-//! The pool list as a file: looked at every so often, read when it has changed.
+//! Files that are looked at every so often, and read when they have changed: the pool list, the keys of peers.
 
 use super::driver::News;
-use lilacpitch_config::Pools;
 use std::os::unix::fs::MetadataExt;
-use std::path::Path;
 use std::time::{Duration, SystemTime};
 use tokio::sync::mpsc;
 
-/// What tells one state of the file from another: when, how long, and which file under the name.
-type Mark = (Option<SystemTime>, u64, u64);
+/// What tells one state of a file from another: when, how long, and which file under the name.
+pub(super) type Mark = (Option<SystemTime>, u64, u64);
 
-/// Watches until nobody listens. `seen`: the state that was read at the start.
-pub(super) async fn watch(path: String, every: Duration, mut seen: Mark, news: mpsc::Sender<News>) {
+/// Watches until nobody listens. `seen`: the state that was read at the start. `read` makes news of a file that
+/// has changed, or says why it can't; `refused` makes news of that.
+pub(super) async fn watch(
+    path: String,
+    every: Duration,
+    mut seen: Mark,
+    news: mpsc::Sender<News>,
+    read: fn(&str) -> Result<News, String>,
+    refused: fn(String) -> News,
+) {
     let mut missing = false;
     loop {
         tokio::time::sleep(every).await;
@@ -20,7 +26,7 @@
             // A file that is replaced by unlinking first may be away for a moment; told once.
             Err(e) => {
                 if !std::mem::replace(&mut missing, true)
-                    && news.send(News::PoolListRefused(format!("{path}: {e}"))).await.is_err()
+                    && news.send(refused(format!("{path}: {e}"))).await.is_err()
                 {
                     return;
                 }
@@ -32,11 +38,7 @@
             continue;
         }
         seen = now;
-        let read = match Pools::load(Path::new(&path)) {
-            Ok(pools) => News::PoolList(pools.value),
-            Err(error) => News::PoolListRefused(error.to_string()),
-        };
-        if news.send(read).await.is_err() {
+        if news.send(read(&path).unwrap_or_else(refused)).await.is_err() {
             return;
         }
     }
--- a/crates/lilacpitch-edge/src/net/metrics.rs
+++ b/crates/lilacpitch-edge/src/net/metrics.rs
@@ -34,12 +34,13 @@
 
 async fn answer(mut stream: TcpStream, news: &mpsc::Sender<News>) -> Option<()> {
     let response = match read_head(&mut stream, http::request).await {
-        Ok((request, _)) if request.method == "GET" && request.target == "/metrics" => {
+        Ok((request, _)) if request.method == "GET" && ["/metrics", "/peers"].contains(&&*request.target) => {
             let (give, take) = oneshot::channel();
-            news.send(News::Metrics(give)).await.ok()?;
+            let ask = if request.target == "/peers" { News::Peers(give) } else { News::Metrics(give) };
+            news.send(ask).await.ok()?;
             plain_response("200 OK", "", &take.await.ok()?)
         }
-        Ok(_) => plain_response("404 Not Found", "", "GET /metrics only\n"),
+        Ok(_) => plain_response("404 Not Found", "", "GET /metrics or /peers\n"),
         Err(error) => plain_response("400 Bad Request", "", &format!("{error}\n")),
     };
     stream.write_all(&response).await.ok()?;
--- a/crates/lilacpitch-edge/src/net/mod.rs
+++ b/crates/lilacpitch-edge/src/net/mod.rs
@@ -5,9 +5,10 @@
 
 mod clock;
 mod driver;
+mod file;
 mod metrics;
-mod pool_file;
 mod pump;
+mod talk;
 
 pub use clock::Clock;
 pub use driver::{run, Ready, RunError};
--- a/crates/lilacpitch/benches/event_cost.rs
+++ b/crates/lilacpitch/benches/event_cost.rs
@@ -132,5 +132,50 @@
     group.finish();
 }
 
-criterion_group!(benches, curve);
+/// So many calls are held back by a silent server while further ones come, and are held as well.
+fn held(c: &mut Criterion) {
+    let mut group = c.benchmark_group("one_call_while_so_many_are_held");
+    group.sample_size(20);
+    for waiting in [10u64, 100, 1_000, 10_000] {
+        let mut settings = settings();
+        // Held for 0.4 of this: for the whole of the measurement.
+        settings.classes[0].aim_ns = 1_000_000 * S;
+        settings.classes[0].deadline_ns = 1_000_000 * S;
+        let mut brain = Controller::new(settings, 5);
+        let mut actions = Vec::new();
+        let entry = |server: u64| Entry {
+            server,
+            number: server as u32,
+            availability: Availability::Ready,
+            ..Entry::default()
+        };
+        brain.handle(100 * S, Event::List(News::Full((0..SERVERS).map(entry).collect())), &mut actions);
+        let call = |id: u64| {
+            let (first_choice, budget_ns) = ((id % SERVERS) as u32, 900_000 * S);
+            let (dialled, width, again, in_transit) = (None, 1.0, false, false);
+            Event::Call(Call { id, class: 0, first_choice, budget_ns, dialled, width, again, in_transit })
+        };
+        // Set-ups that nobody answers: all servers are suspected, and all further calls held.
+        let mut next = 0;
+        let mut now = 100 * S;
+        while next < waiting {
+            next += 1;
+            now += 1_000;
+            brain.handle(now, call(next), &mut actions);
+        }
+        group.bench_function(BenchmarkId::from_parameter(waiting), |b| {
+            b.iter(|| {
+                // One comes and its caller leaves, so that as many stay held.
+                next += 1;
+                now += 10;
+                brain.handle(now, call(next), &mut actions);
+                brain.handle(now, Event::CallerGone(next), &mut actions);
+                actions.clear();
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, curve, held);
 criterion_main!(benches);
--- a/crates/lilacpitch/src/brain.rs
+++ b/crates/lilacpitch/src/brain.rs
@@ -145,15 +145,15 @@
     not_before_ns: Nanos,
     attempts: u32,
     server: ServerId,
-    /// Its place among the waiting, while it is held or releasing.
-    due_ns: Option<Nanos>,
+    /// Its place among the waiting while it is held or releasing, and in a line while it is held.
+    place: Option<(Nanos, Option<Likeness>)>,
     calling_off: bool,
     /// The first attempt that may have run: its server's zone and number, and when it was sent.
     may_have_run: Option<(u32, u32, Nanos)>,
 }
 
 /// What the pick goes by in a call: class, first choice, width, flags, and the attempt that may have run.
-type Likeness = (usize, u32, u64, [bool; 4], Option<(u32, u32, Nanos)>);
+type Likeness = (usize, u32, u64, [bool; 3], Option<(u32, u32, Nanos)>);
 
 /// The decisions of one front. Same settings, seed and events give the same actions.
 pub struct Controller {
@@ -166,6 +166,8 @@
     calls: BTreeMap<CallId, Row>,
     /// Calls held or releasing, by when their patience or release ends; what stands costs no event anything.
     waiting: BTreeSet<(Nanos, CallId)>,
+    /// Held calls that the pick can't tell apart, oldest first: one of them is asked for all.
+    lines: BTreeMap<Likeness, BTreeSet<(Nanos, CallId)>>,
     /// What other fronts told of servers, by server and front, and as of when.
     told: BTreeMap<(ServerId, u64), (Nanos, Fact)>,
     /// Numbers dialled that were given no server, and when they were first tried.
@@ -193,6 +195,7 @@
             servers: BTreeMap::new(),
             calls: BTreeMap::new(),
             waiting: BTreeSet::new(),
+            lines: BTreeMap::new(),
             told: BTreeMap::new(),
             unserved: BTreeMap::new(),
             busy: BTreeMap::new(),
@@ -498,7 +501,7 @@
             not_before_ns: self.now,
             attempts: 0,
             server: 0,
-            due_ns: None,
+            place: None,
             calling_off: false,
             may_have_run: None,
         };
@@ -643,23 +646,37 @@
     /// Keeps a call's place among the waiting in step with its state.
     fn queue(&mut self, id: CallId) {
         let Some(row) = self.calls.get(&id) else { return };
-        let due_ns = match row.state {
-            State::Releasing => Some(row.not_before_ns),
-            State::Held => Some(self.patience_ns(row)),
+        let place = match row.state {
+            State::Releasing => Some((row.not_before_ns, None)),
+            State::Held => Some((self.patience_ns(row), Some(self.likeness(row)))),
             State::Out | State::Standing => None,
         };
-        if due_ns != row.due_ns {
-            let before = row.due_ns.map(|due| (due, id));
-            before.map(|place| self.waiting.remove(&place));
-            self.waiting.extend(due_ns.map(|due| (due, id)));
-            self.calls.entry(id).and_modify(|row| row.due_ns = due_ns);
+        if place != row.place {
+            let (taken_ns, before) = (row.taken_ns, row.place);
+            self.unqueue(id, taken_ns, before);
+            self.waiting.extend(place.map(|(due, _)| (due, id)));
+            if let Some((_, Some(alike))) = place {
+                self.lines.entry(alike).or_default().insert((taken_ns, id));
+            }
+            self.calls.entry(id).and_modify(|row| row.place = place);
+        }
+    }
+
+    fn unqueue(&mut self, id: CallId, taken_ns: Nanos, place: Option<(Nanos, Option<Likeness>)>) {
+        let Some((due, alike)) = place else { return };
+        self.waiting.remove(&(due, id));
+        if let Some((alike, line)) = alike.and_then(|alike| Some((alike, self.lines.get_mut(&alike)?))) {
+            line.remove(&(taken_ns, id));
+            if line.is_empty() {
+                self.lines.remove(&alike);
+            }
         }
     }
 
     /// Takes a call out of the table, and out of the waiting.
     fn take(&mut self, id: CallId) -> Option<Row> {
         let row = self.calls.remove(&id)?;
-        row.due_ns.map(|due| self.waiting.remove(&(due, id)));
+        self.unqueue(id, row.taken_ns, row.place);
         Some(row)
     }
 
@@ -878,8 +895,7 @@
         sum / weight
     }
 
-    /// A server that others hold at a ceiling gets that share of what is meant for it, paced, until own
-    /// counts tell more.
+    /// A server that others hold at a ceiling gets that share of what is meant for it, paced.
     fn told_room(&self, server: &Server) -> bool {
         let id = server.entry.server;
         if self.told.is_empty() || server.stood.0.len() >= FEW {
@@ -960,39 +976,44 @@
     fn look_at_calls(&mut self, actions: &mut Vec<Action>) {
         debug_assert!(self.calls.iter().all(|(id, row)| {
             let waits = matches!(row.state, State::Held | State::Releasing);
-            waits == row.due_ns.is_some_and(|due| self.waiting.contains(&(due, *id)))
+            waits == row.place.is_some_and(|(due, _)| self.waiting.contains(&(due, *id)))
         }));
-        let rows = self.waiting.iter().filter_map(|(_, id)| Some((*id, self.calls.get(id)?)));
-        let key = |(id, row): (CallId, &Row)| (-(self.worth(row) * 1000.0) as i64, row.taken_ns, id);
-        let mut waiting: Vec<_> = rows.map(key).collect();
-        waiting.sort_unstable();
-        // Calls alike find no server alike, until the next send: one of them is asked for all.
-        let mut none: Vec<Likeness> = Vec::new();
-        for (_, _, id) in waiting {
-            let alike = self.calls.get(&id).and_then(|row| self.likeness(row));
-            if alike.as_ref().is_some_and(|alike| none.contains(alike)) && !self.number_rests(id) {
-                if self.calls.get(&id).is_some_and(|row| self.hopeless(row)) {
-                    self.give_up(id, actions);
-                }
-                continue;
-            }
-            let before = actions.len();
+        // Those due, and the first of each line: where it finds none nor do others, a send only takes room.
+        let due = self.waiting.range(..=(self.now, CallId::MAX)).map(|(_, id)| *id);
+        let mut asked: BTreeSet<_> = due.filter_map(|id| self.turn(id)).collect();
+        let lines: Vec<Likeness> = self.lines.keys().copied().collect();
+        lines.into_iter().for_each(|alike| self.ask(alike, &mut asked));
+        while let Some((_, _, id)) = asked.pop_first() {
+            let place = self.calls.get(&id).and_then(|row| row.place);
             self.place(id, actions);
-            if actions[before..].iter().any(|action| matches!(action, Action::Send { .. })) {
-                none.clear();
-            } else if self.calls.contains_key(&id) {
-                none.extend(alike);
+            let moved = self.calls.get(&id).is_none_or(|row| row.place != place);
+            if let Some(alike) = place.and_then(|(_, alike)| alike).filter(|_| moved) {
+                self.ask(alike, &mut asked);
             }
         }
     }
 
-    /// All that the pick goes by in a call that may be sent at present.
-    fn likeness(&self, row: &Row) -> Option<Likeness> {
+    /// Gives the first of a line its turn, and before it those that have become late and go to another line.
+    fn ask(&mut self, alike: Likeness, asked: &mut BTreeSet<(i64, Nanos, CallId)>) {
+        while let Some((_, id)) = self.lines.get(&alike).and_then(|line| line.first().copied()) {
+            asked.extend(self.turn(id));
+            if self.calls.get(&id).is_none_or(|row| self.likeness(row) == alike) {
+                return;
+            }
+            self.queue(id);
+        }
+    }
+
+    /// When a waiting call has its turn: dearest first, then oldest.
+    fn turn(&self, id: CallId) -> Option<(i64, Nanos, CallId)> {
+        self.calls.get(&id).map(|row| (-(self.worth(row) * 1000.0) as i64, row.taken_ns, id))
+    }
+
+    /// All that the pick goes by in a held call.
+    fn likeness(&self, row: &Row) -> Likeness {
         let (call, ran) = (row.call, row.may_have_run);
-        let free = row.state == State::Held && self.now >= row.not_before_ns && self.now < row.deadline_ns;
-        let flags =
-            [call.again, call.in_transit, self.is_late(row), row.attempts >= self.settings.max_attempts];
-        free.then(|| (call.class, call.first_choice, call.width.to_bits(), flags, ran))
+        let flags = [call.again, call.in_transit, self.is_late(row)];
+        (call.class, call.first_choice, call.width.to_bits(), flags, ran)
     }
 
     /// One timer at a time: the next period's end, or sooner when a call's release or patience runs out.
