--- a/crates/lilacpitch-config/src/edge.rs
+++ b/crates/lilacpitch-config/src/edge.rs
@@ -26,6 +26,8 @@
     /// How often it is looked at.
     #[serde(deserialize_with = "de_duration", rename = "look_at_pool_list_every")]
     pub look_ns: u64,
+    /// Pools that callers may name though no server of theirs is listed.
+    pub pools: Vec<String>,
     /// Other fronts.
     pub peers: Option<PeersOf>,
     /// Classes of calls, in the order that gives them their numbers.
--- a/crates/lilacpitch-config/src/schema/edge.cue
+++ b/crates/lilacpitch-config/src/schema/edge.cue
@@ -31,6 +31,9 @@
 	pool_list: string & !=""
 	look_at_pool_list_every: *"100ms" | #Span
 
+	// Pools that callers may name though no server of theirs is listed, as when all are gone at the front's start.
+	pools: *[] | [...#Name]
+
 	// Other fronts of the installation: left out, this front knows of none.
 	peers?: #PeersOf
 
--- a/crates/lilacpitch-edge/src/front/site.rs
+++ b/crates/lilacpitch-edge/src/front/site.rs
@@ -18,6 +18,10 @@
 impl Site {
     pub fn new(settings: &Edge) -> Self {
         let mut site = Site::default();
+        // Found in the laboratory: a front that started while a pool's servers were gone refused its calls.
+        settings.pools.iter().for_each(|pool| {
+            site.pool_listed(pool);
+        });
         for (index, class) in settings.classes.iter().enumerate() {
             site.classes.insert(class.name.clone(), index);
             class.pools.iter().for_each(|pool| {
--- a/crates/lilacpitch-edge/tests/hard_cases.rs
+++ b/crates/lilacpitch-edge/tests/hard_cases.rs
@@ -239,6 +239,18 @@
     assert_eq!(caller.answer("again").1, Answer::Stands);
 }
 
+#[test]
+fn a_pool_whose_servers_are_gone_at_the_start_is_known_by_the_settings() {
+    let servers = Servers::start(&[true]);
+    let edge = Edge::start(&servers, "pools: [\"p7\"]").ready(&servers, 1);
+    let mut caller = Caller::connect(&edge);
+    caller.setup("c", Some(7), 2_000);
+    servers.all[0].answer(&servers.setup());
+    assert_eq!(caller.answer("c").1, Answer::Stands);
+    caller.setup("d", Some(8), 2_000);
+    assert_eq!(caller.message(), ToCaller::Error { reason: "unknown pool".into(), call: Some("d".into()) });
+}
+
 #[test]
 fn a_pool_list_that_cannot_be_read_leaves_the_one_in_hand() {
     let (servers, edge) = two();
--- a/crates/lilacpitch-lab/src/cli.rs
+++ b/crates/lilacpitch-lab/src/cli.rs
@@ -6,7 +6,9 @@
 use lilacpitch_lab::edges::Program;
 use lilacpitch_lab::judge::{Breach, Rule};
 use lilacpitch_lab::load::load;
+use lilacpitch_lab::newcomers::{beginnings, Talk};
 use lilacpitch_lab::play::play;
+use lilacpitch_lab::record::Record;
 use lilacpitch_lab::virtual_day;
 use std::ffi::OsString;
 use std::path::{Path, PathBuf};
@@ -46,6 +48,18 @@
         /// So many fronts in place of the day's, at the same load.
         #[arg(long)]
         edges: Option<usize>,
+        /// Write what was seen on the last day, one record a line.
+        #[arg(long, value_name = "FILE")]
+        records: Option<PathBuf>,
+    },
+    /// Play a day with restarts in virtual time: the first minute of fronts that start anew beside warm ones, when
+    /// fronts know nothing of each other, when they do, when all messages are lost, and when a peer is confused.
+    Newcomers {
+        /// The day's file.
+        file: PathBuf,
+        /// How many seeds, from the day's own on.
+        #[arg(long, default_value_t = 20)]
+        seeds: u64,
     },
     /// Put a steady load on one front: what it adds to a call, what it costs, and the rate one core holds.
     Load {
@@ -82,7 +96,10 @@
         Command::Edge { args } => {
             lilacpitch_edge::cli::main(std::iter::once("lilacpitch-edge".into()).chain(args))
         }
-        Command::Virtual { file, seeds, edges } => done(virtual_days(&file, seeds, edges)),
+        Command::Virtual { file, seeds, edges, records } => {
+            done(virtual_days(&file, seeds, edges, records.as_deref()))
+        }
+        Command::Newcomers { file, seeds } => done(newcomers(&file, seeds)),
         Command::Load { per_s, seconds, ramp, ramp_seconds, edge_program } => {
             let ramp = ramp.into_iter().map(|rate| (rate, ramp_seconds));
             done(load_all(std::iter::once((per_s, seconds)).chain(ramp), edge_program))
@@ -119,11 +136,7 @@
         day.troubles.len()
     );
     let played = play(&day, &program).map_err(|e| e.to_string())?;
-    if let Some(path) = records {
-        let lines: Result<Vec<String>, _> = played.records.iter().map(serde_json::to_string).collect();
-        let text = lines.map_err(|e| e.to_string())?.join("\n") + "\n";
-        std::fs::write(path, text).map_err(|e| format!("{}: {e}", path.display()))?;
-    }
+    records.map_or(Ok(()), |path| write_records(path, &played.records))?;
     println!("{}", played.report);
     let seconds = day.length_ns as f64 / 1e9;
     for (edge, used) in played.used.iter().enumerate() {
@@ -133,6 +146,12 @@
     Ok(verdict(&played.breaches))
 }
 
+fn write_records(path: &Path, records: &[Record]) -> Result<(), String> {
+    let lines: Result<Vec<String>, _> = records.iter().map(serde_json::to_string).collect();
+    let text = lines.map_err(|e| e.to_string())?.join("\n") + "\n";
+    std::fs::write(path, text).map_err(|e| format!("{}: {e}", path.display()))
+}
+
 fn front(program: Option<PathBuf>) -> Result<Program, String> {
     match program {
         Some(path) => Ok(Program::Process(path, Vec::new())),
@@ -153,7 +172,23 @@
     Ok(kept)
 }
 
-fn virtual_days(file: &Path, seeds: u64, edges: Option<usize>) -> Result<bool, String> {
+fn newcomers(file: &Path, seeds: u64) -> Result<bool, String> {
+    let day = Day::load(file).map_err(|e| format!("{}\n{e}", e.drawn()))?;
+    let mut kept = true;
+    for talk in Talk::ALL {
+        let beginning = beginnings(&day, talk, seeds).map_err(|e| e.to_string())?;
+        println!("{:<10} {beginning}", format!("{talk:?}"));
+        kept &= beginning.breaches == 0;
+    }
+    Ok(kept)
+}
+
+fn virtual_days(
+    file: &Path,
+    seeds: u64,
+    edges: Option<usize>,
+    records: Option<&Path>,
+) -> Result<bool, String> {
     let mut day = Day::load(file).map_err(|e| format!("{}\n{e}", e.drawn()))?;
     day.edges = edges.unwrap_or(day.edges);
     let mut kept = true;
@@ -162,6 +197,7 @@
         let played = virtual_day::play(&day, Guards::default()).map_err(|e| e.to_string())?;
         println!("seed {}, {} fronts, played in {:.1} s", day.seed, day.edges, begun.elapsed().as_secs_f64());
         println!("{}", played.report);
+        records.map_or(Ok(()), |path| write_records(path, &played.records))?;
         kept &= verdict(&played.breaches);
         day.seed += 1;
     }
--- a/crates/lilacpitch-lab/src/day.cue
+++ b/crates/lilacpitch-lab/src/day.cue
@@ -24,6 +24,9 @@
 		tip_span:     *"1s" | #Span
 	}
 	resend: *"400ms" | #Span
+	// Whether fronts know each other, and how many of a hundred of their datagrams are lost.
+	peers:     *false | bool
+	peer_loss: *0 | int & >=0 & <=100
 }
 
 #Class: {
@@ -51,7 +54,7 @@
 
 // What goes wrong, from when, for how long, where (no names: everywhere), and how badly.
 #Trouble: {
-	kind:  "slow" | "silent" | "still" | "drain" | "replace" | "jump" | "answers_lost" | "reset" | "freeze" | "callers_leave"
+	kind:  "slow" | "silent" | "still" | "drain" | "replace" | "jump" | "answers_lost" | "reset" | "freeze" | "callers_leave" | "restart" | "peers_lost" | "peers_confused"
 	at:    #Span
 	for:   *"0s" | #Span
 	size:  *1 | number & >=0
--- a/crates/lilacpitch-lab/src/day.rs
+++ b/crates/lilacpitch-lab/src/day.rs
@@ -42,6 +42,10 @@
     /// The gap after which an unanswered set-up is sent again.
     #[serde(deserialize_with = "de_duration", rename = "resend")]
     pub resend_ns: Nanos,
+    /// Whether fronts know each other.
+    pub peers: bool,
+    /// Of a hundred of their datagrams, so many are lost.
+    pub peer_loss: u32,
 }
 
 /// A class of calls, and how its callers behave.
@@ -130,6 +134,12 @@
     Freeze,
     /// Callers drop their sockets, with their calls.
     CallersLeave,
+    /// A front is killed and starts anew at the end, knowing nothing. In virtual time only.
+    Restart,
+    /// No datagram between fronts arrives. In virtual time only.
+    PeersLost,
+    /// A front tells the others that all servers are silent. In virtual time only.
+    PeersConfused,
 }
 
 /// What happens to a server.
@@ -173,6 +183,12 @@
     pub freeze: Vec<(Nanos, Nanos, usize)>,
     /// Fronts whose callers drop their sockets.
     pub leave: Vec<(Nanos, usize)>,
+    /// Fronts that are killed and start anew: from, to.
+    pub restart: Vec<(Nanos, Nanos, usize)>,
+    /// Fronts that tell others nonsense.
+    pub confused: Vec<(Nanos, usize)>,
+    /// Spans in which no datagram between fronts arrives.
+    pub peers_lost: Vec<(Nanos, Nanos)>,
     /// Jumps of the rate.
     pub jumps: Vec<(Nanos, Nanos, f64)>,
     /// The day's servers and those that replace them; `true`: listed from the start.
@@ -241,8 +257,9 @@
     pub fn edge_settings(&self, edge: usize, pool_list: &str, listen: &str) -> String {
         let mut out = format!(
             "name: \"edge-{edge}\"\nlisten: \"{listen}\"\npool_list: {pool_list:?}\nlook_at_pool_list_every: \"50ms\"\n\
-             timing: resend: \"{}ns\"\nlog: level: \"warn\"\n",
-            self.resend_ns
+             timing: resend: \"{}ns\"\nlog: level: \"warn\"\npools: {:?}\n",
+            self.resend_ns,
+            self.pools()
         );
         let rules = &self.rules;
         // Writing to a String cannot fail.
@@ -291,6 +308,9 @@
         match trouble.kind {
             Kind::Jump => script.jumps.push((from, to, size)),
             Kind::Freeze => script.freeze.extend(edges.into_iter().map(|edge| (from, to, edge))),
+            Kind::Restart => script.restart.extend(edges.into_iter().map(|edge| (from, to, edge))),
+            Kind::PeersConfused => script.confused.extend(edges.into_iter().map(|edge| (from, edge))),
+            Kind::PeersLost => script.peers_lost.push((from, to)),
             Kind::CallersLeave => script.leave.extend(edges.into_iter().map(|edge| (from, edge))),
             kind => servers.into_iter().for_each(|s| self.server_trouble(kind, s, (from, to), size, script)),
         }
@@ -343,7 +363,7 @@
                     script.list.push((from, new, Listed::Running(Some(from))));
                 }
             }
-            Kind::Jump | Kind::Freeze | Kind::CallersLeave => {}
+            _ => {}
         }
     }
 }
--- a/crates/lilacpitch-lab/src/lib.rs
+++ b/crates/lilacpitch-lab/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`day`]: a day as a typed record; [`play`] plays it with real edge processes on loopback,
 //!   [`virtual_day`] with the same front and the same models in virtual time.
 //! - [`report`]: service by class, the worst ten seconds, latency.
+//! - [`newcomers`]: how a front that starts anew does beside warm ones.
 //! - [`load`]: how fast a front is, and what it costs.
 //!
 //! All figures are figures of simulated servers.
@@ -16,6 +17,7 @@
 pub mod judge;
 pub mod load;
 pub mod model;
+pub mod newcomers;
 pub mod play;
 pub mod record;
 pub mod report;
--- a/crates/lilacpitch-lab/src/play.rs
+++ b/crates/lilacpitch-lab/src/play.rs
@@ -2,7 +2,7 @@
 //! what crossed the sockets.
 
 use crate::callers;
-use crate::day::{pool_list, Day, Listed, Script};
+use crate::day::{pool_list, Day, Kind, Listed, Script};
 use crate::edges::{EdgeError, Program, Running, Used};
 use crate::judge::{judge, Breach};
 use crate::model::caller::Callers;
@@ -29,6 +29,9 @@
     /// A file or socket of the laboratory itself.
     #[error("{0}: {1}")]
     Io(&'static str, std::io::Error),
+    /// Fronts that know each other or restart: not on sockets yet.
+    #[error("days with peers or restarts are played in virtual time only")]
+    VirtualOnly,
     /// A caller could not connect.
     #[error("callers: {0}")]
     Callers(String),
@@ -49,6 +52,9 @@
 
 /// Plays a day with this program as its fronts. Blocks until it is over.
 pub fn play(day: &Day, program: &Program) -> Result<Played, PlayError> {
+    if day.peers || day.troubles.iter().any(|t| t.kind == Kind::Restart) {
+        return Err(PlayError::VirtualOnly);
+    }
     let folder = tempfile::tempdir().map_err(|e| PlayError::Io("a folder for settings", e))?;
     let script = day.script();
     let clock = Clock::start();
--- a/crates/lilacpitch-lab/src/virtual_day.rs
+++ b/crates/lilacpitch-lab/src/virtual_day.rs
@@ -13,6 +13,7 @@
 use lilacpitch::interface::Nanos;
 use lilacpitch_config::{ConfigError, Edge, Pools, ServerState};
 use lilacpitch_edge::front::{CallerId, Effect, Front, Guards, Input, LinkId};
+use lilacpitch_peers::{Effect as Said, Keys, Peers, Settings as PeersSettings};
 use lilacpitch_protocol::message::call::{Answer, FromCaller, ToCaller};
 use lilacpitch_protocol::message::signal::{FromServer, ToServer};
 use rand_core::{RngCore, SeedableRng};
@@ -46,10 +47,20 @@
     List(usize, Listed),
     Freeze(usize, bool),
     Leave(usize),
+    Kill(usize),
+    Start(usize),
+    Confuse(usize),
+    Datagram(usize, Vec<u8>),
+    PeersWake(usize),
 }
 
 struct FrontRow {
     front: Front,
+    peers: Option<Peers>,
+    peers_wake_ns: Option<Nanos>,
+    /// Killed, and not started anew yet.
+    down: bool,
+    confused: bool,
     wake_ns: Option<Nanos>,
     frozen: bool,
     /// What came while it was frozen.
@@ -84,6 +95,7 @@
     listed: Vec<Listed>,
     rate: Rate,
     connect_ns: Nanos,
+    guards: Guards,
     records: Vec<Record>,
     effects: Vec<Effect>,
     does: Vec<Does>,
@@ -122,6 +134,7 @@
             listed: Vec::new(),
             rate: day.rate(script),
             connect_ns: 0,
+            guards,
             records: Vec::new(),
             effects: Vec::new(),
             does: Vec::new(),
@@ -142,14 +155,15 @@
             world.listed.push(if *listed { Listed::Running(None) } else { Listed::Gone });
         }
         for edge in 0..day.edges {
-            let settings =
-                Edge::from_text("a day's front", &day.edge_settings(edge, "-", "127.0.0.1:1"))?.value;
-            world.connect_ns = settings.timing.connect_ns;
             let seed = day.seed.wrapping_mul(1000) + edge as u64;
-            let front = Front::with_guards(settings, world.now, world.rng.next_u64(), guards);
+            let front = world.new_front(edge)?;
             let callers = Callers::new(format!("e{edge}c"), day.habits(), day.pools().len(), seed);
             world.fronts.push(FrontRow {
                 front,
+                peers: None,
+                peers_wake_ns: None,
+                down: false,
+                confused: false,
                 wake_ns: None,
                 frozen: false,
                 held: Vec::new(),
@@ -162,6 +176,7 @@
             world.feed(edge, Input::PoolList(world.pools()));
             world.at(START_NS, Happens::Arrival(edge));
         }
+        (0..day.edges).for_each(|edge| world.start_peers(edge));
         for (at, server, event) in &script.server {
             world.at(START_NS + at, Happens::ToServerItself(*server, *event));
         }
@@ -172,6 +187,13 @@
             world.at(START_NS + from, Happens::Freeze(*edge, true));
             world.at(START_NS + to, Happens::Freeze(*edge, false));
         }
+        for (from, to, edge) in &script.restart {
+            world.at(START_NS + from, Happens::Kill(*edge));
+            world.at(START_NS + to, Happens::Start(*edge));
+        }
+        for (at, edge) in &script.confused {
+            world.at(START_NS + at, Happens::Confuse(*edge));
+        }
         for (at, edge) in &script.leave {
             world.at(START_NS + at, Happens::Leave(*edge));
         }
@@ -253,6 +275,21 @@
             Happens::List(server, listed) => self.list(server, listed),
             Happens::Freeze(front, on) => self.freeze(front, on),
             Happens::Leave(front) => self.leave(front),
+            Happens::Kill(front) => self.kill(front),
+            Happens::Start(front) => self.start(front),
+            Happens::Confuse(front) => self.fronts[front].confused = true,
+            Happens::Datagram(front, bytes) => {
+                self.with_peers(front, |peers, now, out| {
+                    // Its counters say what was refused.
+                    let _ = peers.datagram(now, &bytes, out);
+                });
+            }
+            Happens::PeersWake(front) => {
+                if self.fronts[front].peers_wake_ns == Some(self.now) {
+                    self.fronts[front].peers_wake_ns = None;
+                    self.with_peers(front, |peers, now, out| peers.timeout(now, out));
+                }
+            }
         }
     }
 
@@ -260,6 +297,9 @@
 
     fn feed(&mut self, index: usize, input: Input) {
         let row = &mut self.fronts[index];
+        if row.down {
+            return;
+        }
         if row.frozen {
             row.held.push(input);
             return;
@@ -461,6 +501,7 @@
     }
 
     fn offer(&mut self, front: usize, made: Try) {
+        // A caller whose front is down can't reach it: its try is lost, and counted.
         if self.now >= START_NS + self.day.length_ns {
             return;
         }
@@ -478,6 +519,10 @@
             class: made.class,
             budget_ns: made.budget_ns,
         });
+        if self.fronts[front].down {
+            self.record(Seen::CallerGone { calls: vec![made.call] });
+            return;
+        }
         self.fronts[front].waiting.insert(made.call.clone(), made);
         self.say(front, &message);
     }
@@ -514,6 +559,99 @@
         }
     }
 
+    /// The front and all it held are gone; its callers and servers see their connections end.
+    fn kill(&mut self, front: usize) {
+        self.fronts[front].down = true;
+        self.fronts[front].peers = None;
+        for server in 0..self.servers.len() {
+            if self.servers[server].conns.contains_key(&front) {
+                self.drop_conn(server, front);
+            }
+        }
+        self.leave(front);
+    }
+
+    /// It starts anew, knowing nothing but its settings and the list.
+    fn start(&mut self, front: usize) {
+        // The day's own settings were read once already.
+        let Ok(new) = self.new_front(front) else { return };
+        let row = &mut self.fronts[front];
+        (row.front, row.down, row.wake_ns, row.peers_wake_ns) = (new, false, None, None);
+        let caller = row.caller;
+        let pools = self.pools();
+        self.feed(front, Input::CallerOpened(caller));
+        self.feed(front, Input::PoolList(pools));
+        self.start_peers(front);
+    }
+
+    fn new_front(&mut self, edge: usize) -> Result<Front, ConfigError> {
+        let text = self.day.edge_settings(edge, "-", "127.0.0.1:1");
+        let settings = Edge::from_text("a day's front", &text)?.value;
+        self.connect_ns = settings.timing.connect_ns;
+        Ok(Front::with_guards(settings, self.now, self.rng.next_u64(), self.guards))
+    }
+
+    // ---- The talk among fronts ----
+
+    fn start_peers(&mut self, front: usize) {
+        if !self.day.peers {
+            return;
+        }
+        let address = |front: usize| SocketAddr::from((Ipv4Addr::LOCALHOST, 20_000 + front as u16));
+        let Ok(keys) = Keys::from_text(&"5a".repeat(32)) else { return };
+        let settings = PeersSettings {
+            name: format!("edge-{front}"),
+            address: address(front),
+            seeds: (0..self.day.edges.min(5)).map(address).collect(),
+            keys,
+            fronts: self.day.edges as u32,
+        };
+        self.fronts[front].peers = Some(Peers::new(settings, self.now, self.rng.next_u64()));
+        self.with_peers(front, |peers, now, out| peers.start(now, out));
+    }
+
+    fn with_peers(&mut self, front: usize, act: impl FnOnce(&mut Peers, Nanos, &mut Vec<Said>)) {
+        let (now, row) = (self.now, &mut self.fronts[front]);
+        let Some(peers) = row.peers.as_mut().filter(|_| !row.frozen) else { return };
+        let mut out = Vec::new();
+        act(peers, now, &mut out);
+        if let Some(at) = peers.next_timeout().filter(|at| row.peers_wake_ns.is_none_or(|set| *at < set)) {
+            row.peers_wake_ns = Some(at.max(now));
+            self.at(at.max(now), Happens::PeersWake(front));
+        }
+        self.peers_said(front, out);
+    }
+
+    fn peers_said(&mut self, front: usize, out: Vec<Said>) {
+        for said in out {
+            match said {
+                Said::Send(to, bytes) => self.datagram(usize::from(to.port()) - 20_000, bytes),
+                Said::Asked(asker) => {
+                    let row = &self.fronts[front];
+                    let mut facts = row.front.facts();
+                    if row.confused {
+                        facts
+                            .iter_mut()
+                            .for_each(|f| (f.suspect, f.ceiling_share, f.age_ms) = (true, Some(0.0), 0));
+                    }
+                    self.with_peers(front, |peers, now, out| peers.answer(now, asker, facts, out));
+                }
+                Said::Told(peer, facts) => self.feed(front, Input::Told(peer.address.to_string(), facts)),
+                Said::Joined(_) | Said::Left(_) => {}
+            }
+        }
+    }
+
+    fn datagram(&mut self, to: usize, bytes: Vec<u8>) {
+        let day_ns = self.now.saturating_sub(START_NS);
+        let cut = self.script.peers_lost.iter().any(|(from, until)| (*from..*until).contains(&day_ns));
+        let lost = self.rng.next_u64() % 100 < u64::from(self.day.peer_loss);
+        if to < self.fronts.len() && !cut && !lost {
+            let at = self.now + WAY_NS + self.rng.next_u64() % WAY_NS;
+            self.at(at, Happens::Datagram(to, bytes));
+        }
+    }
+
     fn leave(&mut self, front: usize) {
         let row = &mut self.fronts[front];
         let gone = row.caller;
