What peers tell is a weighted median against two that find nothing wrong

Change: the median over the voices, each by its freshness, beside two that tell nothing wrong: three fresh peers must agree.

--- a/crates/lilacpitch/src/brain.rs
+++ b/crates/lilacpitch/src/brain.rs
@@ -63,8 +63,7 @@
 const LEAST_OF_NORMAL: f64 = 0.1;
 /// A call held back everywhere may wait here for this share of its aim; then it is refused.
 const HOLD_OF_AIM: f64 = 0.4;
-/// Kept back of a caller's time, as a multiple of the longest standstill of this front of late, and what is
-/// remembered of that each period: half in 35 s, a twelfth less between standstills 4 s apart.
+/// Kept back of a caller's time: a multiple of the longest standstill of late; so much stays a period.
 const STALL_MARGIN: f64 = 1.25;
 const STALL_KEPT: f64 = 0.998;
 /// A server without any answer for so many resend gaps while set-ups are out is suspected silent.
@@ -78,8 +77,8 @@
 
 /// What another front tells counts less with its age, and nothing past this.
 const FACT_NS: Nanos = WINDOW_NS * 10;
-/// Against what others tell stands the weight of one that finds nothing wrong: no peer alone carries it.
-const NOTHING_WRONG: f64 = 1.0;
+/// Against what others tell stands the weight of two that find nothing wrong: three must agree on more.
+const NOTHING_WRONG: f64 = 2.0;
 
 /// Set-ups of one kind at one server, each by its period: those of the window, or the last FEW of them.
 #[derive(Default)]
@@ -805,14 +804,12 @@
         }
     }
 
-    /// What may be used of a caller's time. This front itself may stand still when the time runs out and so
-    /// answer too late: as much is kept back as its own timers were late of late, of half the time at most.
+    /// What may be used of a caller's time: as much is kept back as this front's timers were late of late.
     fn safe_budget_ns(&self, budget_ns: Nanos) -> Nanos {
         budget_ns - share(self.stall_ns, STALL_MARGIN).max(2 * self.settings.tick_ns).min(budget_ns / 2)
     }
 
-    /// A number whose lines were all busy goes on drawing callers, and each set-up for it is work for
-    /// nothing: it rests, but for single live calls.
+    /// Each set-up for a number whose lines are all busy is work for nothing: it rests, but for live calls.
     fn number_busy(&mut self, id: CallId) {
         let number = self.calls.get(&id).and_then(|row| row.call.dialled);
         self.busy.extend(number.map(|number| (number, self.now + BUSY_REST_NS)));
@@ -859,9 +856,7 @@
         self.servers.values().filter_map(fact).collect()
     }
 
-    /// Facts of others stand in for own counts until there are some, and only ever make this front more
-    /// careful: the wait told begins the delay, a server that most call silent or drained gets single live
-    /// calls, one that most call cold its cold share. They may be old or their teller confused: `voices`.
+    /// Facts of others stand in for own counts until there are some, and only make this front more careful.
     fn on_told(&mut self, peer: u64, facts: Vec<Fact>) {
         let (now, longest_ns) = (self.now, share(self.gap_ns, 2.0 * WAIT_GAPS_2));
         for fact in facts {
@@ -885,14 +880,20 @@
         }
     }
 
-    /// The mean of what other fronts tell of a server, each by its freshness, against one that tells `calm`.
+    /// The median of what fronts tell of a server, each by its freshness, and of one that tells `calm`.
     fn voices(&self, id: ServerId, value: &dyn Fn(&Fact) -> f64, calm: f64) -> f64 {
-        let (mut sum, mut weight) = (calm * NOTHING_WRONG, NOTHING_WRONG);
-        for (_, (as_of, fact)) in self.told.range((id, 0)..=(id, u64::MAX)) {
-            let fresh = 1.0 - (self.now.saturating_sub(*as_of) as f64 / FACT_NS as f64).min(1.0);
-            (sum, weight) = (sum + fresh * value(fact), weight + fresh);
-        }
-        sum / weight
+        let told = self.told.range((id, 0)..=(id, u64::MAX)).map(|(_, (as_of, fact))| {
+            let age = self.now.saturating_sub(*as_of) as f64 / FACT_NS as f64;
+            ((value(fact) - calm).abs(), (1.0 - age).max(0.0))
+        });
+        let mut all: Vec<(f64, f64)> = told.chain([(0.0, NOTHING_WRONG)]).collect();
+        all.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let mut left = all.iter().map(|(_, weight)| weight).sum::<f64>() / 2.0;
+        let mut by_far = all.into_iter().skip_while(|(_, weight)| {
+            left -= weight;
+            left > 0.0
+        });
+        (calm - by_far.next().map_or(0.0, |(far, _)| far)).abs()
     }
 
     /// A server that others hold at a ceiling gets that share of what is meant for it, paced.
@@ -915,8 +916,7 @@
         self.servers.entry(id).and_modify(|s| s.suspect = Some(suspect));
     }
 
-    /// How far apart this front's set-ups to a server normally are: what each front does once in that time
-    /// is no more than the server's normal load, however many fronts there are.
+    /// How far apart this front's set-ups there normally are: all fronts at that pace are its normal load.
     fn apart_ns(&self, server: &Server) -> Nanos {
         ((1e9 / self.normal_per_s(server)) as Nanos).min(WINDOW_NS * FAR_BACK)
     }
