--- a/crates/lilacpitch-config/src/unify.rs
+++ b/crates/lilacpitch-config/src/unify.rs
@@ -18,7 +18,7 @@
         (other, Value::Or(any)) => {
             alternatives(any, Node { value: other, span: a.span }, span, path, problems)
         }
-        (Value::Struct(one), Value::Struct(two)) => Value::Struct(records(one, two, span, path, problems)),
+        (Value::Struct(one), Value::Struct(two)) => Value::Struct(records(one, two, path, problems)),
         (Value::List(one, more_one), Value::List(two, more_two)) => {
             let (one, two) = ((one, more_one), (two, more_two));
             let (found, wanted) = if a.span.in_schema { (two, one) } else { (one, two) };
@@ -152,7 +152,7 @@
     Value::List(items, more)
 }
 
-fn records(one: Record, two: Record, span: Span, path: &str, problems: &mut Vec<Problem>) -> Record {
+fn records(one: Record, two: Record, path: &str, problems: &mut Vec<Problem>) -> Record {
     let (open_one, open_two) = (one.open, two.open);
     let mut out = Record { open: open_one && open_two, ..Record::default() };
     let takes = |record: &Record, name: &str| {
@@ -201,7 +201,6 @@
             }
         }
     }
-    let _ = span;
     out.patterns = patterns.into_iter().flatten().collect();
     out
 }
--- a/crates/lilacpitch-edge/src/front/mod.rs
+++ b/crates/lilacpitch-edge/src/front/mod.rs
@@ -206,7 +206,7 @@
             Input::NotWritten { link, message } => self.on_not_written(link, message, effects),
             Input::PoolList(pools) => self.on_pool_list(&pools, effects),
             Input::Told(peer, facts) => self.on_told(&peer, facts),
-            Input::Stop => self.on_stop(effects),
+            Input::Stop => self.on_stop(),
             Input::Timeout => {}
         }
         self.run_follow(effects);
@@ -323,15 +323,13 @@
         effects.push(Effect::ToCaller(caller, ToCaller::Error { reason, call }.encode()));
     }
 
-    fn on_stop(&mut self, effects: &mut Vec<Effect>) {
+    fn on_stop(&mut self) {
         if self.stopping {
             return;
         }
         tracing::info!(calls = self.calls.len(), "stopping: no new calls");
         self.stopping = true;
         self.timers.set(Timer::Stop, self.now + self.settings.timing.stop_ns);
-        // Calls that wait only for a server to be heard of again would hold the stop up to their deadline.
-        let _ = effects;
     }
 
     /// The time that a stop grants is over: what is owed is answered, what stands is released.
--- a/crates/lilacpitch-lab/src/play.rs
+++ b/crates/lilacpitch-lab/src/play.rs
@@ -13,7 +13,6 @@
 use lilacpitch_edge::net::Clock;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::time::Duration;
 use thiserror::Error;
 use tokio::sync::watch;
 
@@ -63,7 +62,7 @@
         sockets.push(standin::bind().map_err(|e| PlayError::Io("a server's socket", e))?);
     }
     let addresses: Vec<SocketAddr> = sockets.iter().map(|(_, address)| *address).collect();
-    let mut board = Board::new(day, &script, addresses, folder.path());
+    let mut board = Board::new(&script, addresses, folder.path());
     board.write().map_err(|e| PlayError::Io("the pool list", e))?;
     let start_ns = clock.now() + LEAD_NS * 2;
     board.day_start_ms = start_ns / 1_000_000;
@@ -216,8 +215,6 @@
         };
         records.push(Record { at_ns: clock.now(), seen });
     }
-    // Nothing may stay frozen, or it could not be stopped.
-    tokio::time::sleep(Duration::ZERO).await;
     Ok(records)
 }
 
@@ -230,7 +227,7 @@
 }
 
 impl Board {
-    fn new(_: &Day, script: &Script, addresses: Vec<SocketAddr>, folder: &Path) -> Self {
+    fn new(script: &Script, addresses: Vec<SocketAddr>, folder: &Path) -> Self {
         let servers = script.servers.iter().zip(addresses);
         Board {
             path: folder.join("pools.cue"),
