Fronts tell each other what they have unanswered, as rumours every 50 ms

Now a voice tells set-ups unanswered in place of a share of ceilings nobody used, each voice is passed on in two rounds 50 ms apart, and the pick counts others' set-ups beside own ones: four a front at most, without the front that tells of most, for a second.

--- a/crates/lilacpitch-edge/src/front/facts.rs
+++ b/crates/lilacpitch-edge/src/front/facts.rs
@@ -19,7 +19,7 @@
                 server: self.servers.rows.get(&fact.server)?.name.clone(),
                 age_ms: ms(fact.age_ns),
                 wait_ms: ms(fact.wait_ns),
-                ceiling_share: fact.ceiling_share.map(|share| share.min(1e6) as f32),
+                out: fact.out.min(1_000_000),
                 suspect: fact.suspect,
                 // Warm for long is of no use to anybody.
                 cold_ms: fact.cold_ns.filter(|ns| *ns < self.settings.rules.cold_span_ns).map(ms),
@@ -30,9 +30,7 @@
         // Past an hour a fact is none.
         facts.retain(|fact| fact.check().is_ok());
         // The most telling first, should there be more than are told.
-        facts.sort_by_key(|fact| {
-            (!fact.suspect, fact.cold_ms.is_none(), fact.ceiling_share.is_none(), fact.age_ms)
-        });
+        facts.sort_by_key(|fact| (!fact.suspect, fact.cold_ms.is_none(), fact.age_ms));
         facts
     }
 
@@ -56,7 +54,7 @@
                 server,
                 age_ns: Nanos::from(fact.age_ms) * MS,
                 wait_ns: Nanos::from(fact.wait_ms) * MS,
-                ceiling_share: fact.ceiling_share.map(f64::from),
+                out: fact.out,
                 suspect: fact.suspect,
                 cold_ns: fact.cold_ms.map(|ms| Nanos::from(ms) * MS),
                 drained: fact.drained,
--- a/crates/lilacpitch-peers/src/fact.rs
+++ b/crates/lilacpitch-peers/src/fact.rs
@@ -11,6 +11,8 @@
 const MAX_NAME_BYTES: usize = 64;
 /// Ages and waits past this are refused: an hour.
 const MAX_MS: u32 = 3_600_000;
+/// More set-ups unanswered at one server are refused.
+const MAX_OUT: u32 = 1_000_000;
 
 /// What a front knows of a server. Names, since ids are each front's own.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -21,8 +23,8 @@
     pub age_ms: u32,
     /// The wait expected there, in milliseconds.
     pub wait_ms: u32,
-    /// The ceiling there as a share of this front's normal rate, where one is in force.
-    pub ceiling_share: Option<f32>,
+    /// Set-ups of this front that are unanswered there.
+    pub out: u32,
     /// Taken to be silent.
     pub suspect: bool,
     /// Since when it is cold, in milliseconds ago.
@@ -41,8 +43,8 @@
         if [Some(self.age_ms), Some(self.wait_ms), self.cold_ms].into_iter().flatten().any(|ms| ms > MAX_MS) {
             return Err(Refused::Malformed("an age or a wait of over an hour"));
         }
-        if self.ceiling_share.is_some_and(|share| !(0.0..=1e6).contains(&share)) {
-            return Err(Refused::Malformed("a ceiling"));
+        if self.out > MAX_OUT {
+            return Err(Refused::Malformed("more set-ups unanswered than a front has"));
         }
         Ok(())
     }
--- a/crates/lilacpitch-peers/src/peers.rs
+++ b/crates/lilacpitch-peers/src/peers.rs
@@ -30,7 +30,7 @@
 const ANSWERS_PER_S: u64 = 20;
 /// News is told so many members, drawn anew, this far apart.
 const NEWS_TO: usize = 3;
-const NEWS_GAP_NS: Nanos = 200 * MS;
+const NEWS_GAP_NS: Nanos = 50 * MS;
 /// Members that are remembered, seeds beside.
 const MAX_MEMBERS: usize = 1_000;
 
@@ -436,8 +436,11 @@
     ) {
         let mut out = Gathered::default();
         let _ = act(&mut self.swim, &mut out);
-        if let Some(me) = out.me {
+        if let Some(me) = out.me.take() {
             self.me = me;
+            // Under its new identity it knows its peers but counts as alone, and would never probe one again:
+            // an update of nobody makes it look.
+            let _ = self.swim.apply_many(std::iter::empty(), false, &mut out);
         }
         for (timer, after) in out.later {
             self.later(after.as_nanos() as Nanos, Due::Swim(timer));
--- a/crates/lilacpitch/src/brain.rs
+++ b/crates/lilacpitch/src/brain.rs
@@ -92,14 +92,17 @@
 /// The rest between live calls to a suspect begins at the normal distance there, and doubles so often.
 const TRIAL_DOUBLINGS: u32 = 4;
 
-/// What another front tells counts half after this time, a wait after that, and nothing past the last.
+/// What another front tells counts half after this time, a wait after that, set-ups out until then, and
+/// nothing past the last.
 const FACT_KEPT_NS: Nanos = WINDOW_NS * 5;
 const WAIT_KEPT_NS: Nanos = PERIOD_NS * 10;
 const FACT_NS: Nanos = WINDOW_NS * 10;
 /// What others tell must weigh more than two fresh voices: three at least.
 const NOTHING_WRONG: f64 = 2.0;
+/// A told wait from this share of the resend gap on is one that fronts would bring about together.
+const TOLD_LONG_OF: f64 = 0.125;
 /// So many voices of a server are kept, the newest: what is told costs no more with more fronts.
-const MOST_VOICES: usize = 16;
+const MOST_VOICES: usize = 32;
 
 /// Set-ups of one kind at one server: those of the window, or the last FEW of them.
 type Count = window::Count<N, FEW, PERIOD_NS>;
--- a/crates/lilacpitch/src/brain/counts.rs
+++ b/crates/lilacpitch/src/brain/counts.rs
@@ -29,7 +29,8 @@
         }
         if passed > 0 {
             self.lapse(passed.min(N * 4));
-            self.hear_waits();
+            let ids: Vec<_> = self.servers.keys().copied().collect();
+            ids.into_iter().for_each(|id| self.hear(id));
             self.add_credit(passed.min(N) as f64 * PERIOD_NS as f64 / 1e9);
         }
     }
@@ -58,19 +59,18 @@
     /// What a set-up sent now would surely wait: as long as the oldest unanswered has, as long as the server
     /// takes this front's unanswered at the rate at which they stood, or what is left of the last delay.
     pub(super) fn expected_wait_ns(&self, server: &Server) -> Nanos {
-        self.own_wait_ns(server, server.told_wait_ns)
+        let waiting = server.out.iter().filter(|o| !o.overtaken).count();
+        let stood_per_s = self.per_s(&server.stood, 0.0);
+        let backlog_s = waiting as f64 / stood_per_s.max(1.0 / self.window_s());
+        self.seen_wait_ns(server, server.told_wait_ns).max((backlog_s * 1e9) as Nanos)
     }
 
-    /// The same with the last delay as others tell it: many fresh ones know more than one old one.
-    pub(super) fn own_wait_ns(&self, server: &Server, told_ns: Option<Nanos>) -> Nanos {
+    /// What was seen to be waited there; many fresh delays that others tell know more than an old one.
+    pub(super) fn seen_wait_ns(&self, server: &Server, told_ns: Option<Nanos>) -> Nanos {
         let fades = if server.sent.few(self.period) { FADE_OF.0 } else { FADE_OF.1 };
         let faded = share(self.now - server.heard_ns.min(self.now), fades);
         let delay_ns = told_ns.unwrap_or(server.delay_ns.saturating_sub(faded));
-        let Some(oldest_ns) = server.oldest_ns() else { return delay_ns };
-        let waiting = server.out.iter().filter(|o| !o.overtaken).count();
-        let stood_per_s = self.per_s(&server.stood, 0.0);
-        let backlog_s = waiting as f64 / stood_per_s.max(1.0 / self.window_s());
-        delay_ns.max(self.now.saturating_sub(oldest_ns)).max((backlog_s * 1e9) as Nanos)
+        server.oldest_ns().map_or(delay_ns, |oldest_ns| delay_ns.max(self.now.saturating_sub(oldest_ns)))
     }
 
     /// The ceiling in force: the one that a symptom set, or that of a cold server where it is lower.
@@ -116,11 +116,12 @@
             if !self.may_send(row, server) || self.holds_back(server, row) {
                 continue;
             }
-            // Where others tell of a wait, a first choice is one of those drawn: else many would wait there.
-            let long = server.told_wait_ns.is_some_and(|wait| wait > share(self.gap_ns, QUICK_OF));
+            // Where others wait too, a first choice is one of those drawn: else many would wait there.
+            let waits = |wait| wait > share(self.gap_ns, TOLD_LONG_OF);
+            let long = server.told_out > 1 && server.told_wait_ns.is_some_and(waits);
             let chosen = server.entry.number == row.call.first_choice && !long;
             let to = if chosen { &mut first } else { &mut open };
-            to.push((server.out.len(), self.expected_wait_ns(server), server.entry.server));
+            to.push((server.out.len() + server.told_out, self.expected_wait_ns(server), server.entry.server));
         }
         let open = if first.is_empty() { open } else { first };
         if open.len() < 2 {
--- a/crates/lilacpitch/src/brain/guards.rs
+++ b/crates/lilacpitch/src/brain/guards.rs
@@ -115,11 +115,11 @@
     /// Late set-ups press a server before their time-out; one that answers nothing at all is suspected, and
     /// what waits there is called off while it can still stand elsewhere in time.
     pub(super) fn look_at_servers(&mut self, actions: &mut Vec<Action>) {
-        let late_ns = share(self.gap_ns, LATE_GAPS);
+        let (now, late_ns) = (self.now, share(self.gap_ns, LATE_GAPS));
         let silent_ns = share(self.gap_ns, SILENT_GAPS);
         let ids: Vec<ServerId> = self.servers.keys().copied().collect();
         for id in ids {
-            self.call_off(id, |out, age_ns| out.overtaken && age_ns > late_ns, actions);
+            self.call_off(id, |out| out.overtaken && now - out.sent_ns > late_ns, actions);
             let server = &self.servers[&id];
             let Some(oldest) = server.oldest_ns() else { continue };
             let silent = self.now - oldest.max(server.heard_ns) > silent_ns;
@@ -132,20 +132,15 @@
             if silent {
                 self.suspect(id);
                 self.servers.entry(id).and_modify(|s| s.suspect.iter_mut().for_each(|s| s.told = false));
-                self.call_off(id, |_, age_ns| age_ns > silent_ns, actions);
+                self.call_off(id, |out| now - out.sent_ns > silent_ns, actions);
             }
         }
     }
 
-    pub(super) fn call_off(
-        &mut self,
-        id: ServerId,
-        lost: impl Fn(&Unanswered, Nanos) -> bool,
-        to: &mut Vec<Action>,
-    ) {
+    fn call_off(&mut self, id: ServerId, lost: impl Fn(&Unanswered) -> bool, to: &mut Vec<Action>) {
         let Some(server) = self.servers.get(&id).filter(|_| self.settings.may_cancel) else { return };
         for out in &server.out {
-            if !lost(out, self.now - out.sent_ns) {
+            if !lost(out) {
                 continue;
             }
             let Some(row) = self.calls.get_mut(&out.call) else { continue };
--- a/crates/lilacpitch/src/brain/state.rs
+++ b/crates/lilacpitch/src/brain/state.rs
@@ -47,6 +47,8 @@
     pub(super) delay_ns: Nanos,
     /// The wait there as other fronts tell it.
     pub(super) told_wait_ns: Option<Nanos>,
+    /// Set-ups of other fronts that are unanswered there, as they tell it.
+    pub(super) told_out: usize,
     pub(super) heard_ns: Nanos,
     pub(super) sent_ns: Nanos,
     /// Of one set-up, so much may go there while it is cold.
--- a/crates/lilacpitch/src/brain/told.rs
+++ b/crates/lilacpitch/src/brain/told.rs
@@ -6,18 +6,15 @@
     /// What this front knows of servers from its own set-ups; hearsay is not passed on.
     pub fn facts(&self) -> Vec<Fact> {
         let fact = |server: &Server| {
-            let stood_ns = server.stood.last().map_or(0, |period| period * PERIOD_NS);
+            // What goes on waiting is told anew twice a gap: others forget it else.
             let waits = server.oldest_ns().filter(|oldest| self.now - oldest > share(self.gap_ns, LATE_GAPS));
-            let seen_ns = waits.map_or(server.symptom_ns.max(stood_ns), |_| self.now);
-            if seen_ns == 0 {
-                return None;
-            }
-            let normal = self.normal_per_s(server).max(f64::MIN_POSITIVE);
-            Some(Fact {
+            let last_ns = server.sent_ns.max(server.heard_ns).max(server.symptom_ns);
+            let aged = |oldest| (self.now - oldest) % (self.gap_ns / 2 + 1);
+            Some(server.sent_ns).filter(|sent| *sent > 0).map(|_| Fact {
                 server: server.entry.server,
-                age_ns: self.now.saturating_sub(seen_ns),
-                wait_ns: self.own_wait_ns(server, None),
-                ceiling_share: server.ceiling_per_s.map(|ceiling| ceiling / normal),
+                age_ns: waits.map_or(self.now.saturating_sub(last_ns), aged),
+                wait_ns: self.seen_wait_ns(server, None),
+                out: server.out.len() as u32,
                 suspect: server.suspect.is_some_and(|s| !s.told),
                 cold_ns: server.cold_since_ns.map(|at| self.now.saturating_sub(at)),
                 drained: !server.in_service(),
@@ -37,6 +34,7 @@
                 let oldest = known.min_by_key(|(_, (as_of, _))| *as_of).map(|(key, _)| *key);
                 oldest.map(|key| self.told.remove(&key));
             }
+            self.hear(id);
             let grave = fact.suspect || fact.drained || fact.cold_ns.is_some();
             let unknown = |s: &&Server| grave && s.stood.len() < FEW;
             let Some(server) = self.servers.get(&id).filter(unknown) else { continue };
@@ -51,9 +49,8 @@
                 self.suspect(id);
                 self.servers.entry(id).and_modify(|s| s.suspect.iter_mut().for_each(|s| s.told = true));
             }
-            self.servers
-                .entry(id)
-                .and_modify(|s| s.cold_since_ns = if cold { since.max(young) } else { young });
+            let since = if cold { since.max(young) } else { young };
+            self.servers.entry(id).and_modify(|s| s.cold_since_ns = since);
         }
     }
 
@@ -74,14 +71,17 @@
         median.next().map(|(value, _)| value).filter(|_| weight > 2.0 * NOTHING_WRONG)
     }
 
-    /// What a call waits at each server as others tell it, where this front's own set-ups are few.
-    pub(super) fn hear_waits(&mut self) {
+    /// What others tell of a server now: what a call waits there, where own set-ups are few, and how many are
+    /// out there, but for those of the front that tells of most: one that is wrong moves nothing by itself.
+    pub(super) fn hear(&mut self, id: ServerId) {
+        let told = self.told.range((id, 0)..=(id, u64::MAX)).map(|(_, told)| told);
+        let fresh = told.filter(|(as_of, _)| self.now.saturating_sub(*as_of) < WAIT_KEPT_NS);
+        let outs = fresh.map(|(_, fact)| (fact.out as usize).min(FEW));
+        let (sum, most) = outs.fold((0, 0), |(sum, most), out| (sum + out, most.max(out)));
         let longest_ns = share(self.gap_ns, 2.0 * WAIT_GAPS_2);
-        let few = self.servers.iter().filter(|(_, s)| s.sent.few(self.period)).map(|(id, _)| *id);
-        let wait = |id| self.voices(id, WAIT_KEPT_NS, &|f| f.wait_ns.min(longest_ns) as f64);
-        let waits: BTreeMap<_, _> = few.map(|id| (id, wait(id))).collect();
-        for (id, server) in &mut self.servers {
-            server.told_wait_ns = waits.get(id).copied().flatten().map(|wait| wait as Nanos);
-        }
+        let few = self.servers.get(&id).filter(|s| s.sent.few(self.period));
+        let wait = few.and_then(|_| self.voices(id, WAIT_KEPT_NS, &|f| f.wait_ns.min(longest_ns) as f64));
+        let heard = (sum - most, wait.map(|wait| wait as Nanos));
+        self.servers.entry(id).and_modify(|s| (s.told_out, s.told_wait_ns) = heard);
     }
 }
--- a/crates/lilacpitch/src/interface.rs
+++ b/crates/lilacpitch/src/interface.rs
@@ -191,8 +191,8 @@
     pub age_ns: Nanos,
     /// The wait expected there.
     pub wait_ns: Nanos,
-    /// The ceiling in force there, as a share of the teller's normal rate.
-    pub ceiling_share: Option<f64>,
+    /// Set-ups of the teller that are unanswered there.
+    pub out: u32,
     /// Taken to be silent.
     pub suspect: bool,
     /// Since when it is cold, as a span until now.
