--- a/crates/lilacpitch-config/src/schema/edge.cue
+++ b/crates/lilacpitch-config/src/schema/edge.cue
@@ -3,7 +3,7 @@
 #Span: =~"^[0-9]+(\\.[0-9]+)?(ns|us|ms|s|m|h)$"
 // A name in messages: visible ASCII, without the slash that joins names to labels.
 #Name: =~"^[!-.0-~]{1,64}$"
-#Address: =~"^[0-9A-Za-z.:\\[\\]-]+:[0-9]{1,5}$"
+#Address: =~"^[0-9A-Za-z.:\\[\\]-]+:([0-9]{1,4}|[1-5][0-9]{4}|6[0-4][0-9]{3}|65[0-4][0-9]{2}|655[0-2][0-9]|6553[0-5])$"
 
 // A class of calls.
 #Class: {
--- a/crates/lilacpitch-config/tests/settings.rs
+++ b/crates/lilacpitch-config/tests/settings.rs
@@ -47,7 +47,8 @@
         ("\"1.2s\"", "\"12s\"", "classes[1].give_up: is shorter than aim"),
         ("#Usual &", "#Usuall &", "edge.cue:7:2: `#Usuall` is neither a type nor a definition"),
         ("\"250ms\"", "\"0ms\"", "edge.cue:10:17: timing.resend: must be above 0"),
-        ("127.0.0.1:7000", "127.0.0.1:99999", "edge.cue:3:9: listen: invalid socket address syntax"),
+        ("127.0.0.1:7000", "999.0.0.1:80", "edge.cue:3:9: listen: invalid socket address syntax"),
+        ("127.0.0.1:7000", "127.0.0.1:70000", "edge.cue:3:9: listen: found \"127.0.0.1:70000\", wanted =~"),
         ("\"1.2s\"", "\"99999999999h\"", "classes[1].aim: 99999999999h: a span past 292 years"),
         (
             "timing: resend",
--- a/crates/lilacpitch-edge/src/cli.rs
+++ b/crates/lilacpitch-edge/src/cli.rs
@@ -67,8 +67,7 @@
     match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("{}", error.drawn());
-            eprintln!("{error}");
+            complain(&error);
             ExitCode::from(2)
         }
     }
@@ -113,6 +112,16 @@
     }
 }
 
+/// Says once what is wrong: drawn for a person at a terminal, else a line a mistake.
+fn complain(error: &ConfigError) {
+    use std::io::IsTerminal;
+    if std::io::stderr().is_terminal() {
+        eprintln!("{}", error.drawn());
+    } else {
+        eprintln!("{error}");
+    }
+}
+
 fn check(config: &Path) -> Result<String, ConfigError> {
     let edge = Edge::load(config)?.value;
     let pools = Pools::load(Path::new(&edge.pool_list))?;
@@ -135,8 +144,7 @@
     let settings = match Edge::load(config) {
         Ok(loaded) => loaded.value,
         Err(error) => {
-            eprintln!("{}", error.drawn());
-            eprintln!("{error}");
+            complain(&error);
             return ExitCode::from(2);
         }
     };
@@ -176,8 +184,7 @@
     match ran {
         Ok(()) => ExitCode::SUCCESS,
         Err(net::RunError::PoolList(error)) => {
-            eprintln!("{}", error.drawn());
-            eprintln!("{error}");
+            complain(&error);
             ExitCode::from(2)
         }
         Err(error) => {
--- a/crates/lilacpitch-edge/src/front/calls.rs
+++ b/crates/lilacpitch-edge/src/front/calls.rs
@@ -1,7 +1,8 @@
 //! Calls and their attempts: taken, sent, answered once, released.
 
+use super::attempt::{Attempt, AttemptState};
 use super::site::{dialled, NO_POOL};
-use super::{left, AttemptId, CallerId, Effect, Front, LinkId, Timer};
+use super::{left, AttemptId, CallerId, Effect, Front, Timer};
 use lilacpitch::interface::{self, Nanos, Outcome, Report, ServerId};
 use lilacpitch::Event;
 use lilacpitch_protocol::message::call::{Answer, ToCaller};
@@ -33,28 +34,6 @@
     span: tracing::Span,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum AttemptState {
-    /// Waits for a connection.
-    Queued,
-    /// Given to a connection as its message of this number, and no answer yet.
-    Out { link: LinkId, message: u64 },
-    /// The call stands.
-    Standing,
-}
-
-/// An attempt that has not ended.
-#[derive(Debug)]
-pub(super) struct Attempt {
-    pub call: u64,
-    pub server: ServerId,
-    /// Its number among the call's attempts, from 0.
-    pub hop: u32,
-    pub state: AttemptState,
-    resend_gap_ns: Nanos,
-    repeats: u32,
-}
-
 impl Front {
     /// Takes a call, or says why not, with the id that the caller gave it.
     pub(super) fn take_call(&mut self, caller: CallerId, asked: Asked) -> Result<(), (&'static str, String)> {
--- a/crates/lilacpitch-edge/src/front/links.rs
+++ b/crates/lilacpitch-edge/src/front/links.rs
@@ -1,7 +1,7 @@
 //! Connections to servers: made, lost, made again with growing, drawn gaps; and what their loss means for each
 //! attempt on them.
 
-use super::calls::AttemptState;
+use super::attempt::AttemptState;
 use super::{left, AttemptId, Effect, Front, LinkId, Timer};
 use lilacpitch::interface::{Availability, Entry, Nanos, Outcome, Report, ServerId};
 use lilacpitch::Event;
--- a/crates/lilacpitch-edge/src/front/mod.rs
+++ b/crates/lilacpitch-edge/src/front/mod.rs
@@ -6,6 +6,7 @@
 //! keeps the rules on the wire: one final answer for each call, nothing sent for it after, an attempt's end told
 //! once, circuits at servers not leaked, nothing queued for a server that drains.
 
+mod attempt;
 mod calls;
 mod counters;
 mod facts;
@@ -17,7 +18,8 @@
 pub use counters::Counters;
 pub use pools::ListedServer;
 
-use calls::{Attempt, AttemptState, Call};
+use attempt::{Attempt, AttemptState};
+use calls::Call;
 use lilacpitch::interface::{Action, Nanos, Outcome, Report};
 use lilacpitch::{Controller, Event, Policy, Settings};
 use lilacpitch_config::{Edge, Pools};
--- a/crates/lilacpitch-edge/src/net/driver.rs
+++ b/crates/lilacpitch-edge/src/net/driver.rs
@@ -1,11 +1,11 @@
 //! The driver: the one task that owns the front, and the tasks of connections around it.
 
+use super::news::{News, RunError};
 use super::pump::{open, serve_handshake, Heard, Outgoing, Pump};
 use super::talk::Talk;
 use super::{file, metrics, Clock};
 use crate::front::{CallerId, Effect, Front, Guards, Input, LinkId};
-use lilacpitch_config::{ConfigError, Edge, Pools};
-use lilacpitch_peers::Keys;
+use lilacpitch_config::{Edge, Pools};
 use lilacpitch_protocol::frame::Role;
 use lilacpitch_protocol::handshake;
 use rand::rngs::StdRng;
@@ -14,10 +14,9 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
-use thiserror::Error;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
 
 /// Inputs that may wait for the driver; what brings them is read no further meanwhile.
@@ -27,26 +26,6 @@
 /// How long a caller may take over its handshake.
 const HANDSHAKE: Duration = Duration::from_secs(5);
 
-/// Why a front could not start.
-#[derive(Debug, Error)]
-pub enum RunError {
-    /// An address could not be listened on.
-    #[error("listening on {0}: {1}")]
-    Listen(SocketAddr, std::io::Error),
-    /// The pool list can't be read.
-    #[error("{0}")]
-    PoolList(#[from] ConfigError),
-    /// The file of the pool list can't be looked at.
-    #[error("{0}: {1}")]
-    PoolFile(String, std::io::Error),
-    /// The key file of peers can't be read.
-    #[error("{0}")]
-    Keys(String),
-    /// The machine gave no signal handler or no randomness.
-    #[error("{0}")]
-    Machine(String),
-}
-
 /// Where a front that has started can be reached.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Ready {
@@ -56,17 +35,6 @@
     pub metrics: Option<SocketAddr>,
 }
 
-/// What comes to the driver.
-pub(super) enum News {
-    Input(Input),
-    PoolList(Pools),
-    PoolListRefused(String),
-    Keys(Keys),
-    KeysRefused(String),
-    Metrics(oneshot::Sender<String>),
-    Peers(oneshot::Sender<String>),
-}
-
 /// A connection's queue and its task.
 struct Peer {
     out: mpsc::Sender<Outgoing>,
--- a/crates/lilacpitch-edge/src/net/metrics.rs
+++ b/crates/lilacpitch-edge/src/net/metrics.rs
@@ -1,6 +1,6 @@
 //! `GET /metrics` on its own address: a page of what the front counts.
 
-use super::driver::News;
+use super::news::News;
 use super::pump::read_head;
 use crate::front::Front;
 use lilacpitch_protocol::handshake::plain_response;
--- a/crates/lilacpitch-edge/src/net/mod.rs
+++ b/crates/lilacpitch-edge/src/net/mod.rs
@@ -7,9 +7,11 @@
 mod driver;
 mod file;
 mod metrics;
+mod news;
 mod pump;
 mod talk;
 
 pub use clock::Clock;
-pub use driver::{run, Ready, RunError};
+pub use driver::{run, Ready};
+pub use news::RunError;
 pub use pump::{open, serve_handshake, Ended, Heard, Outgoing, Pump};
--- a/crates/lilacpitch-edge/src/net/talk.rs
+++ b/crates/lilacpitch-edge/src/net/talk.rs
@@ -1,7 +1,7 @@
 //! The socket of the talk among fronts.
 
-use super::driver::{News, RunError};
 use super::file;
+use super::news::{News, RunError};
 use lilacpitch::interface::Nanos;
 use lilacpitch_config::PeersOf;
 use lilacpitch_peers::seal::MAX_DATAGRAM_BYTES;
