--- a/crates/lilacpitch-peers/src/fact.rs
+++ b/crates/lilacpitch-peers/src/fact.rs
@@ -12,7 +12,7 @@
 /// Ages and waits past this are refused: an hour.
 const MAX_MS: u32 = 3_600_000;
 /// More set-ups unanswered at one server are refused.
-const MAX_OUT: u32 = 1_000_000;
+pub const MAX_OUT: u32 = 1_000_000;
 
 /// What a front knows of a server. Names, since ids are each front's own.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
--- a/crates/lilacpitch/tests/mechanism.rs
+++ b/crates/lilacpitch/tests/mechanism.rs
@@ -606,11 +606,10 @@
     assert!(sent_there(&[drained, drained, drained]) <= 2);
 }
 
-/// Of forty first choices of server 11, a second apart, those sent there after these words, told before each.
-fn sent_there_beside(words: &[Fact]) -> usize {
-    let mut front = Front::new(settings(), &two());
+/// Of so many first choices of server 11, so far apart, those sent there; these words are told before each.
+fn answered_there(front: &mut Front, calls: usize, apart_ns: Nanos, words: &[Fact]) -> usize {
     let mut there = 0;
-    for _ in 0..40 {
+    for _ in 0..calls {
         for (peer, fact) in words.iter().enumerate() {
             front.event(Event::Told { peer: peer as u64, facts: vec![*fact] });
         }
@@ -618,11 +617,15 @@
         there += usize::from(sent_to(&actions, id) == Some(11));
         front.pass(20 * MS);
         front.stands(id, 0);
-        front.pass(980 * MS);
+        front.pass(apart_ns - 20 * MS);
     }
     there
 }
 
+fn sent_there_beside(words: &[Fact]) -> usize {
+    answered_there(&mut Front::new(settings(), &two()), 40, S, words)
+}
+
 #[test]
 fn set_ups_that_others_have_out_move_a_front_with_few_calls_elsewhere() {
     let busy = Fact { age_ns: 10 * MS, wait_ns: 150 * MS, out: 2, ..calm(11) };
@@ -692,18 +695,7 @@
     assert_eq!(own.len(), 1);
     assert_eq!((own[0].server, own[0].suspect, own[0].cold_ns), (22, false, None));
     // It answers at once; all the same it is used like a cold one, far below what is meant for it.
-    let to_11 = |front: &mut Front| {
-        let mut count = 0;
-        for _ in 0..12 {
-            let (id, actions) = front.call(0);
-            count += usize::from(sent_to(&actions, id) == Some(11));
-            front.pass(20 * MS);
-            front.stands(id, 0);
-            front.pass(180 * MS);
-        }
-        count
-    };
-    let told = to_11(&mut front);
-    let untold = to_11(&mut Front::new(settings(), &two()));
+    let told = answered_there(&mut front, 12, 200 * MS, &[]);
+    let untold = answered_there(&mut Front::new(settings(), &two()), 12, 200 * MS, &[]);
     assert!((1..=6).contains(&told) && untold == 12, "{told} told, {untold} untold");
 }
