--- a/crates/lilacpitch-edge/src/cli.rs
+++ b/crates/lilacpitch-edge/src/cli.rs
@@ -28,6 +28,13 @@
         #[arg(long, value_name = "FILE")]
         config: PathBuf,
     },
+    /// Run a front node: callers speak SIP over TCP, signalling servers JSON lines. Until SIGTERM; SIGHUP reads the
+    /// configuration again. BALANCER_CONFIG names the file where --config does not.
+    Node {
+        /// The configuration, as JSON.
+        #[arg(long, value_name = "FILE")]
+        config: Option<PathBuf>,
+    },
     /// Read the settings and the pool list as a start would, and say what is wrong.
     Check {
         /// The settings file.
@@ -57,6 +64,7 @@
     };
     let done = match args.command {
         Command::Run { config } => return run(&config),
+        Command::Node { config } => return node(config),
         Command::Peers { metrics } => return peers(metrics),
         Command::Check { config } => check(&config).map(|said| say(&said)),
         Command::Schema => {
@@ -157,19 +165,11 @@
     if let Err(error) = set {
         eprintln!("lilacpitch-edge: logging: {error}");
     }
-    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
-        Ok(runtime) => runtime,
-        Err(error) => {
-            eprintln!("lilacpitch-edge: no runtime: {error}");
-            return ExitCode::FAILURE;
-        }
-    };
     let ready = |ready: net::Ready| {
         let metrics = ready.metrics.map(|m| format!(",\"metrics\":\"{m}\"")).unwrap_or_default();
         say(&format!("{{\"callers\":\"{}\"{metrics}}}", ready.callers));
     };
-    let local = tokio::task::LocalSet::new();
-    let ran = local.block_on(&runtime, async {
+    let ran = on_one_thread(async {
         let machine = |e: std::io::Error| net::RunError::Machine(format!("signals: {e}"));
         let mut term = signal(SignalKind::terminate()).map_err(machine)?;
         let mut int = signal(SignalKind::interrupt()).map_err(machine)?;
@@ -181,6 +181,7 @@
         };
         net::run(settings, Guards::default(), ready, stop).await
     });
+    let Some(ran) = ran else { return ExitCode::FAILURE };
     match ran {
         Ok(()) => ExitCode::SUCCESS,
         Err(net::RunError::PoolList(error)) => {
@@ -193,3 +194,35 @@
         }
     }
 }
+
+/// Runs on this thread alone; `None`, said why, where the machine refuses a runtime.
+fn on_one_thread<T>(what: impl std::future::Future<Output = T>) -> Option<T> {
+    match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => Some(tokio::task::LocalSet::new().block_on(&runtime, what)),
+        Err(error) => {
+            eprintln!("lilacpitch-edge: no runtime: {error}");
+            None
+        }
+    }
+}
+
+fn node(config: Option<PathBuf>) -> ExitCode {
+    let Some(config) = config.or_else(|| std::env::var_os("BALANCER_CONFIG").map(PathBuf::from)) else {
+        eprintln!("lilacpitch-edge: BALANCER_CONFIG: not set, and no --config");
+        return ExitCode::from(2);
+    };
+    let filter = EnvFilter::try_from_env("LILACPITCH_LOG").unwrap_or_else(|_| EnvFilter::new("info"));
+    let log = tracing_subscriber::fmt().with_env_filter(filter).with_writer(std::io::stderr).with_ansi(false);
+    if let Err(error) = log.try_init() {
+        eprintln!("lilacpitch-edge: logging: {error}");
+    }
+    match on_one_thread(lilacpitch_node::net::run(&config.to_string_lossy())) {
+        Some(Ok(())) => ExitCode::SUCCESS,
+        Some(Err(error)) => {
+            eprintln!("lilacpitch-edge: {error}");
+            let wrong = matches!(error, lilacpitch_node::net::RunError::Config(_));
+            ExitCode::from(if wrong { 2 } else { 1 })
+        }
+        None => ExitCode::FAILURE,
+    }
+}
--- a/crates/lilacpitch-edge/src/front/calls.rs
+++ b/crates/lilacpitch-edge/src/front/calls.rs
@@ -72,7 +72,7 @@
             class,
             first_choice,
             // The caller's time began when it sent, which may be before a standstill of this front.
-            budget_ns: (asked.budget_ms * 1_000_000).saturating_sub(self.standstill_ns()),
+            budget_ns: (asked.budget_ms * 1_000_000).saturating_sub(self.standstill.span_ns(self.now)),
             dialled: asked.number.as_deref().map(dialled),
             width: 1.0,
             again: false,
--- a/crates/lilacpitch-edge/src/front/mod.rs
+++ b/crates/lilacpitch-edge/src/front/mod.rs
@@ -23,6 +23,7 @@
 use lilacpitch::interface::{Action, Nanos, Outcome, Report};
 use lilacpitch::{Controller, Event, Policy, Settings};
 use lilacpitch_config::{Edge, Pools};
+use lilacpitch_net::{Standstill, Timers};
 use lilacpitch_protocol::message::call::{FromCaller, ToCaller};
 use links::Servers;
 use rand_core::SeedableRng;
@@ -30,10 +31,7 @@
 use site::Site;
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
-use timers::{Timer, Timers};
-
-/// After a standstill of this front, what is read for so long may have waited through it.
-const CATCH_UP_NS: Nanos = 100_000_000;
+use timers::Timer;
 
 /// A caller's connection, by the number the shell gives it. Never given twice.
 pub type CallerId = u64;
@@ -138,7 +136,7 @@
     calls: BTreeMap<u64, Call>,
     attempts: BTreeMap<AttemptId, Attempt>,
     servers: Servers,
-    timers: Timers,
+    timers: Timers<Timer>,
     next_call: u64,
     next_attempt: AttemptId,
     /// Events that the front's own doings cause, for after the actions in hand.
@@ -146,8 +144,7 @@
     actions: Vec<Action>,
     stopping: bool,
     stopped: bool,
-    /// The last standstill of this front, and until when it may have kept messages waiting.
-    behind: (Nanos, Nanos),
+    standstill: Standstill,
     counters: Counters,
 }
 
@@ -195,7 +192,7 @@
             actions: Vec::new(),
             stopping: false,
             stopped: false,
-            behind: (0, 0),
+            standstill: Standstill::default(),
             counters: Counters::default(),
             settings,
         }
@@ -204,7 +201,7 @@
     /// Takes one input and appends what is to be done. A clock that runs back stands still.
     pub fn handle(&mut self, now: Nanos, input: Input, effects: &mut Vec<Effect>) {
         self.now = self.now.max(now);
-        self.note_standstill();
+        self.standstill.note(self.now, self.timers.first(), 2 * self.settings.timing.tick_ns);
         // What is due goes first: an answer that comes with its time-out comes too late.
         self.fire_due(effects);
         match input {
@@ -261,25 +258,6 @@
         self.callers.len()
     }
 
-    /// Timers that are late show that this front stood still: what is read next may have waited as long, and
-    /// its callers' time has run meanwhile.
-    fn note_standstill(&mut self) {
-        let late_ns = self.timers.first().map_or(0, |due| self.now.saturating_sub(due));
-        if late_ns > 2 * self.settings.timing.tick_ns {
-            self.behind = (late_ns.max(self.standstill_ns()), self.now + CATCH_UP_NS);
-        }
-    }
-
-    /// How long what is read now may have waited.
-    fn standstill_ns(&self) -> Nanos {
-        let (span, until) = self.behind;
-        if self.now < until {
-            span
-        } else {
-            0
-        }
-    }
-
     fn fire_due(&mut self, effects: &mut Vec<Effect>) {
         while let Some(timer) = self.timers.pop_due(self.now) {
             match timer {
@@ -306,7 +284,7 @@
                     Action::Cancel { call, attempt } => self.cancel(call, attempt, effects),
                     Action::Refuse { call, come_back_ns } => self.refuse(call, come_back_ns, effects),
                     Action::Fail { call } => self.fail(call, "no further attempt is allowed", effects),
-                    Action::WakeAt(at) => self.timers.set(Timer::Module, at),
+                    Action::WakeAt(at) => self.timers.set_no_later(Timer::Module, at),
                     // The pool list comes unasked.
                     Action::Subscribe => {}
                 }
--- a/crates/lilacpitch-edge/src/net/mod.rs
+++ b/crates/lilacpitch-edge/src/net/mod.rs
@@ -3,7 +3,6 @@
 //! Everything runs on one thread as tasks of a `LocalSet`; the driver owns the front, a task each owns a
 //! connection, and bounded queues join them. A connection that can't keep up is ended, and never waited for.
 
-mod clock;
 mod driver;
 mod file;
 mod metrics;
@@ -11,7 +10,7 @@
 mod pump;
 mod talk;
 
-pub use clock::Clock;
 pub use driver::{run, Ready};
+pub use lilacpitch_net::Clock;
 pub use news::RunError;
 pub use pump::{open, serve_handshake, Ended, Heard, Outgoing, Pump};
--- /dev/null
+++ b/crates/lilacpitch-net/src/standstill.rs
@@ -0,0 +1,32 @@
+//! How long what is read now may have waited: timers that are late show that the process stood still.
+
+use lilacpitch::interface::Nanos;
+
+/// After a standstill, what is read for so long may have waited through it.
+const CATCH_UP_NS: Nanos = 100_000_000;
+
+/// The last standstill of this process, and until when it may have kept messages waiting.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Standstill {
+    span_ns: Nanos,
+    until_ns: Nanos,
+}
+
+impl Standstill {
+    /// Notes by how much the first timer is late; up to `usual_ns` is no standstill.
+    pub fn note(&mut self, now: Nanos, first_due: Option<Nanos>, usual_ns: Nanos) {
+        let late_ns = first_due.map_or(0, |due| now.saturating_sub(due));
+        if late_ns > usual_ns {
+            *self = Standstill { span_ns: late_ns.max(self.span_ns(now)), until_ns: now + CATCH_UP_NS };
+        }
+    }
+
+    /// How long what is read now may have waited.
+    pub fn span_ns(&self, now: Nanos) -> Nanos {
+        if now < self.until_ns {
+            self.span_ns
+        } else {
+            0
+        }
+    }
+}
--- /dev/null
+++ b/crates/lilacpitch-node/src/core/mod.rs
@@ -0,0 +1,303 @@
+//! The core of a node, without I/O: inputs in, effects out, time handed in.
+//!
+//! One way through it: an [`Input`] becomes an event of the module, the module's actions become [`Effect`]s.
+//! [`Node`] is the sole owner of callers, calls, attempts, links and timers. What it owes by itself keeps the rules
+//! on the wire: one final answer to each call, nothing sent for it after, each attempt's end told once, nothing
+//! queued for a server that drains, and what has stood released towards its caller.
+
+mod callers;
+mod calls;
+mod counters;
+mod links;
+mod list;
+mod standing;
+
+pub use counters::Counters;
+
+use crate::coordinator::Endpoints;
+use crate::signal::FromServer;
+use callers::Caller;
+use calls::Call;
+use lilacpitch::interface::{Action, CallId, Nanos, Outcome, Report, ServerId};
+use lilacpitch::settings::Site;
+use lilacpitch::{Controller, Event};
+use lilacpitch_net::{Standstill, Timers};
+use lilacpitch_sip::Message;
+use links::{Link, Server};
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+
+/// A caller's connection, by the number the shell gives it. Never given twice.
+pub type CallerId = u64;
+/// A connection to a server, by the number the node gives it. Never given twice.
+pub type LinkId = u64;
+
+/// After SIGTERM, callers' connections and set-ups are taken for so long: news of a restart takes time to spread.
+const LATE_ARRIVALS_NS: Nanos = 750_000_000;
+
+/// What happens to a node.
+#[derive(Debug)]
+pub enum Input {
+    /// A caller's connection is there.
+    CallerOpened(CallerId),
+    /// A caller sent a message.
+    CallerMessage(CallerId, Message),
+    /// A caller's connection has ended.
+    CallerClosed(CallerId),
+    /// A connection that was asked for is ready.
+    LinkUp(LinkId),
+    /// A server sent a message.
+    LinkMessage(LinkId, FromServer),
+    /// A connection has ended or could not be made.
+    LinkDown {
+        /// The connection.
+        link: LinkId,
+        /// Of the messages given to it, so many may have reached the server.
+        written: u64,
+        /// Whether the machine there said at once that nobody listens.
+        refused: bool,
+    },
+    /// A message given to a connection was too old to be written, and never will be.
+    NotWritten {
+        /// The connection.
+        link: LinkId,
+        /// Which of its messages, from 0.
+        message: u64,
+    },
+    /// The coordinator's news.
+    List(Endpoints),
+    /// Room for connections is short: the caller whose connection is idle for longest is to go.
+    MakeRoom,
+    /// The operator asks the node to stop.
+    Stop,
+    /// Time has passed.
+    Timeout,
+}
+
+/// What the shell is to do.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Effect {
+    /// Send a caller a message.
+    ToCaller(CallerId, Vec<u8>),
+    /// End a caller's connection. No `CallerClosed` follows.
+    CloseCaller(CallerId),
+    /// Make a connection to a server, and answer with `LinkUp` or `LinkDown`.
+    Connect(LinkId, SocketAddr),
+    /// Send a server a message: the connection's messages are numbered from 0 in their order.
+    ToServer {
+        /// The connection.
+        link: LinkId,
+        /// Its number among the connection's messages.
+        message: u64,
+        /// The message.
+        bytes: Vec<u8>,
+        /// Not to be written after this moment; answered by `NotWritten` then.
+        not_after_ns: Option<Nanos>,
+    },
+    /// End a connection to a server, once what was given to it is written. No `LinkDown` follows.
+    Disconnect(LinkId),
+    /// Nothing is owed any more.
+    Stopped,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Timer {
+    /// The module asked to be woken.
+    Module,
+    /// An attempt's time is up.
+    TimeOut(CallId),
+    /// Servers are looked at: what is gone, and whether what stands there is still reached.
+    Look,
+    /// Late arrivals have come by now.
+    Leave,
+}
+
+/// The core of a node. Same settings, seed and inputs give the same effects.
+pub struct Node {
+    site: Site,
+    max_links: usize,
+    brain: Controller,
+    now: Nanos,
+    callers: BTreeMap<CallerId, Caller>,
+    calls: BTreeMap<CallId, Call>,
+    /// Calls that are open or stand, by the id that crosses the wire.
+    by_wire: BTreeMap<u64, CallId>,
+    servers: BTreeMap<ServerId, Server>,
+    by_uid: BTreeMap<String, ServerId>,
+    links: BTreeMap<LinkId, Link>,
+    timers: Timers<Timer>,
+    standstill: Standstill,
+    next_call: CallId,
+    next_server: ServerId,
+    next_link: LinkId,
+    /// Releases that no connection could take yet, oldest first.
+    unsent: VecDeque<Vec<u8>>,
+    /// Events that the node's own doings cause, for after the actions in hand.
+    follow: VecDeque<Event>,
+    actions: Vec<Action>,
+    listed: bool,
+    stopping: bool,
+    leaving: bool,
+    stopped: bool,
+    counters: Counters,
+}
+
+impl Node {
+    /// A node that knows its settings and nothing else. `max_links`: connections to servers, beyond one each.
+    /// `now`: nanoseconds since 1970, as all times here.
+    pub fn new(site: Site, max_links: usize, now: Nanos, seed: u64) -> Self {
+        let mut node = Node {
+            brain: Controller::new(site.settings.clone(), seed),
+            site,
+            max_links,
+            now,
+            callers: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            by_wire: BTreeMap::new(),
+            servers: BTreeMap::new(),
+            by_uid: BTreeMap::new(),
+            links: BTreeMap::new(),
+            timers: Timers::default(),
+            standstill: Standstill::default(),
+            next_call: 1,
+            next_server: 1,
+            next_link: 1,
+            unsent: VecDeque::new(),
+            follow: VecDeque::new(),
+            actions: Vec::new(),
+            listed: false,
+            stopping: false,
+            leaving: false,
+            stopped: false,
+            counters: Counters::default(),
+        };
+        node.timers.set(Timer::Look, now + links::LOOK_NS);
+        node
+    }
+
+    /// Takes one input and appends what is to be done about it.
+    pub fn handle(&mut self, now: Nanos, input: Input, effects: &mut Vec<Effect>) {
+        self.now = self.now.max(now);
+        self.standstill.note(self.now, self.timers.first(), 2 * self.site.settings.tick_ns);
+        // What was due before is judged before what has been read since.
+        self.fire_due(effects);
+        match input {
+            Input::CallerOpened(caller) => drop(self.callers.insert(caller, Caller::new(self.now))),
+            Input::CallerMessage(caller, message) => self.on_caller_message(caller, message, effects),
+            Input::CallerClosed(caller) => self.on_caller_closed(caller, effects),
+            Input::LinkUp(link) => self.on_link_up(link, effects),
+            Input::LinkMessage(link, message) => self.on_link_message(link, message, effects),
+            Input::LinkDown { link, written, refused } => self.on_link_down(link, written, refused, effects),
+            Input::NotWritten { link, message } => self.on_not_written(link, message, effects),
+            Input::List(endpoints) => self.on_list(&endpoints, effects),
+            Input::MakeRoom => self.make_room(effects),
+            Input::Stop => self.on_stop(),
+            Input::Timeout => {}
+        }
+        self.run_follow(effects);
+        if self.leaving && !self.stopped && self.calls.values().all(|call| call.stands()) {
+            self.stopped = true;
+            effects.push(Effect::Stopped);
+        }
+    }
+
+    /// When the next [`Input::Timeout`] is due.
+    pub fn next_timeout(&self) -> Option<Nanos> {
+        self.timers.first()
+    }
+
+    /// Whether set-ups are taken: the list is in hand, and nobody asked the node to stop.
+    pub fn ready(&self) -> bool {
+        self.listed && !self.stopping
+    }
+
+    /// What was counted since the start.
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    /// What the module believes of servers, by their ids on the wire.
+    pub fn beliefs(&self) -> Vec<(String, lilacpitch::interface::Fact)> {
+        let facts = self.brain.facts().into_iter();
+        facts.filter_map(|fact| Some((self.servers.get(&fact.server)?.uid.clone(), fact))).collect()
+    }
+
+    /// Set-ups that are open, and calls that stand.
+    pub fn calls_now(&self) -> (usize, usize) {
+        let standing = self.calls.values().filter(|call| call.stands()).count();
+        (self.calls.len() - standing, standing)
+    }
+
+    /// Connections of callers, and to servers.
+    pub fn connections_now(&self) -> (usize, usize) {
+        (self.callers.len(), self.links.len())
+    }
+
+    fn fire_due(&mut self, effects: &mut Vec<Effect>) {
+        while let Some(timer) = self.timers.pop_due(self.now) {
+            match timer {
+                Timer::Module => self.follow.push_back(Event::Wake),
+                Timer::TimeOut(call) => self.give_up_attempt(call, Outcome::TimedOut, effects),
+                Timer::Look => self.look(effects),
+                Timer::Leave => self.leaving = true,
+            }
+            self.run_follow(effects);
+        }
+    }
+
+    /// Feeds the module what is due to it, and does what it says, until nothing is left.
+    fn run_follow(&mut self, effects: &mut Vec<Effect>) {
+        while let Some(event) = self.follow.pop_front() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.brain.handle(self.now, event, &mut actions);
+            for action in actions.drain(..) {
+                match action {
+                    Action::Send { call, server, timeout_ns } => self.send(call, server, timeout_ns, effects),
+                    Action::Cancel { call, attempt } => self.cancel(call, attempt, effects),
+                    Action::Refuse { call, come_back_ns } => self.refuse(call, come_back_ns, effects),
+                    Action::Fail { call } => self.fail(call, effects),
+                    Action::WakeAt(at) => self.timers.set_no_later(Timer::Module, at),
+                    // The coordinator is followed in any case.
+                    Action::Subscribe => {}
+                }
+            }
+            self.actions = actions;
+        }
+    }
+
+    fn on_stop(&mut self) {
+        if !self.stopping {
+            tracing::info!(calls = self.calls.len(), "stopping once late arrivals have their answers");
+            self.stopping = true;
+            self.timers.set(Timer::Leave, self.now + LATE_ARRIVALS_NS);
+        }
+    }
+
+    fn settled(
+        &mut self,
+        call: CallId,
+        attempt: u32,
+        server: ServerId,
+        outcome: Outcome,
+        closed: bool,
+        report: Report,
+    ) {
+        *self.counters.outcomes.entry(outcome_name(outcome)).or_default() += 1;
+        self.follow.push_back(Event::Settled { call, attempt, server, outcome, closed, report });
+    }
+}
+
+fn outcome_name(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Passed => "passed",
+        Outcome::Fault => "fault",
+        Outcome::LinesBusy => "busy",
+        Outcome::NoCircuit => "no_circuit",
+        Outcome::ProcessorFull(_) => "full",
+        Outcome::TimedOut => "timed_out",
+        Outcome::NoRoute => "no_route",
+        Outcome::Cut => "cut",
+        Outcome::CalledOff => "called_off",
+        Outcome::NotSent => "not_sent",
+    }
+}
--- a/crates/lilacpitch-protocol/src/http.rs
+++ b/crates/lilacpitch-protocol/src/http.rs
@@ -113,8 +113,9 @@
     }
 }
 
-/// Start line, fields and length of a head that has arrived whole.
-fn head(bytes: &[u8]) -> Result<Option<(String, Fields, usize)>, HeadError> {
+/// Start line, fields and length of a head that has arrived whole; SIP heads (RFC 3261 section 7) have the same
+/// form.
+pub fn head(bytes: &[u8]) -> Result<Option<(String, Fields, usize)>, HeadError> {
     let seen = &bytes[..bytes.len().min(MAX_HEAD_BYTES)];
     let Some(end) = seen.windows(4).position(|w| w == b"\r\n\r\n") else {
         return if bytes.len() >= MAX_HEAD_BYTES { Err(HeadError::TooLong) } else { Ok(None) };
--- a/crates/lilacpitch/src/lib.rs
+++ b/crates/lilacpitch/src/lib.rs
@@ -11,6 +11,7 @@
 
 pub mod brain;
 pub mod interface;
+pub mod settings;
 pub mod voices;
 pub mod waiting;
 pub mod window;
--- /dev/null
+++ b/crates/lilacpitch/src/settings.rs
@@ -0,0 +1,167 @@
+//! Reads the settings object that a front is handed at its start: one reader for the adapter and the front node.
+
+use crate::interface::{Class, Nanos, Repeat, Report, Scope, Settings};
+use serde_json::Value;
+use std::fmt;
+
+/// What is wrong with the settings, and where.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SettingsError {
+    /// The field, as a path of names.
+    pub field: String,
+    /// What is wrong with it.
+    pub what: String,
+}
+
+impl fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.field, self.what)
+    }
+}
+
+impl std::error::Error for SettingsError {}
+
+fn fault<T>(field: &str, what: impl Into<String>) -> Result<T, SettingsError> {
+    Err(SettingsError { field: field.to_string(), what: what.into() })
+}
+
+/// What the settings tell: of the decisions, and of what carries them.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Site {
+    /// What the module is told.
+    pub settings: Settings,
+    /// Names of the values in a server's report, in their order.
+    pub report_fields: Vec<String>,
+    /// Names of the classes, in their order.
+    pub class_names: Vec<String>,
+    /// Names of the zones, in their order.
+    pub zone_names: Vec<String>,
+    /// Open requests allowed at once; more are refused before they reach the module.
+    pub max_open: usize,
+    /// Connections that are not made within this time are given up.
+    pub connect_timeout_ns: Nanos,
+    /// How long a set-up to a server that drains may still leave after the front was told.
+    pub drain_grace_ns: Nanos,
+}
+
+impl Site {
+    /// Reads the settings from their text.
+    pub fn read(text: &str) -> Result<Site, SettingsError> {
+        match serde_json::from_str(text) {
+            Ok(value) => Site::from_value(&value),
+            Err(error) => fault("info", format!("not JSON: {error}")),
+        }
+    }
+
+    /// Reads the settings from JSON that is part of something else.
+    pub fn from_value(root: &Value) -> Result<Site, SettingsError> {
+        if !root.is_object() {
+            return fault("info", "not an object");
+        }
+        let at = |path: &str| path.split('.').try_fold(root, |v, key| v.get(key));
+        let number = |path: &str, default: f64| match at(path) {
+            None | Some(Value::Null) => Ok(default),
+            Some(v) => match v.as_f64() {
+                Some(n) if n.is_finite() => Ok(n),
+                _ => fault(path, "not a number"),
+            },
+        };
+        let span =
+            |path: &str, default: f64| Ok::<Nanos, SettingsError>(number(path, default)?.max(0.0) as Nanos);
+        let flag = |path: &str, default: bool| match at(path) {
+            None | Some(Value::Null) => Ok(default),
+            Some(v) => v.as_bool().map_or_else(|| fault(path, "not true or false"), Ok),
+        };
+        let words = |path: &str| {
+            let all = at(path).and_then(Value::as_array);
+            all.into_iter().flatten().map(|v| word(Some(v))).collect::<Vec<_>>()
+        };
+        let all = at("classes").and_then(Value::as_array).map_or(&[][..], Vec::as_slice);
+        let pools = |index: usize| at("family_info.pools_by_class").and_then(|p| p.get(index));
+        let classes =
+            all.iter().enumerate().map(|(i, c)| class(c, pools(i))).collect::<Result<Vec<_>, _>>()?;
+        if classes.is_empty() {
+            return fault("classes", "no classes");
+        }
+        let tick_ns = span("tick_ns", 0.0)?;
+        if tick_ns == 0 {
+            return fault("tick_ns", "must be above 0");
+        }
+        let home = number("family_info.home_no", -1.0)?;
+        let retry_after = flag("permissions.retry_after", false)?;
+        let settings = Settings {
+            classes,
+            home: (home >= 0.0).then_some(home as u32),
+            resend_ns: span("family_info.retransmit_ns", 0.0)?,
+            release_ns: span("family_info.release_ns", 0.0)?,
+            max_attempts: number("permissions.max_attempts", 1.0)?.max(1.0) as u32,
+            may_cancel: flag("permissions.cancel", false)?,
+            max_come_back_ns: if retry_after { span("permissions.max_retry_after_ns", 0.0)? } else { 0 },
+            list_on_request: word(at("discovery")) == "on_request",
+            cold_from: number("rules.cold_from", 1.0)?.clamp(0.0, 1.0),
+            cold_ns: span("rules.cold_ns", 0.0)?,
+            tip_multiple: number("rules.tip_multiple", 1.0)?.max(1.0),
+            tick_ns,
+        };
+        Ok(Site {
+            settings,
+            report_fields: words("report.fields"),
+            class_names: all.iter().map(|class| word(class.get("name"))).collect(),
+            zone_names: words("dcs"),
+            max_open: number("permissions.max_open", f64::from(u32::MAX))?.max(1.0) as usize,
+            connect_timeout_ns: span("permissions.connect_timeout_ns", 1e9)?,
+            drain_grace_ns: span("rules.stop_sending_within_ns", 0.0)?,
+        })
+    }
+
+    /// What is used of a server's report; values below 0 are not known.
+    pub fn report<'a>(
+        &self,
+        mut value_of: impl FnMut(usize, &str) -> Option<&'a str>,
+    ) -> Result<Report, String> {
+        let mut report = Report::default();
+        for (index, name) in self.report_fields.iter().enumerate() {
+            let Some(text) = value_of(index, name) else { continue };
+            let value = match text.parse::<f64>() {
+                Ok(value) if value.is_finite() => value,
+                _ => return Err(format!("not a number: {text:.40}")),
+            };
+            if name == "free" && value >= 0.0 {
+                report.free = Some(value);
+            }
+        }
+        Ok(report)
+    }
+}
+
+fn word(value: Option<&Value>) -> String {
+    value.and_then(Value::as_str).unwrap_or("").to_string()
+}
+
+fn class(class: &Value, pools: Option<&Value>) -> Result<Class, SettingsError> {
+    let figure = |key: &str, default: f64| class.get(key).and_then(Value::as_f64).unwrap_or(default);
+    let scope = match word(class.get("dedup_scope")).as_str() {
+        "zone" => Scope::Zone,
+        "cell" => Scope::Number,
+        _ => Scope::All,
+    };
+    let aim_ns = figure("aim_ns", 0.0) as Nanos;
+    if aim_ns == 0 {
+        return fault("classes.aim_ns", "must be above 0");
+    }
+    let pools = pools.and_then(Value::as_array).into_iter().flatten();
+    Ok(Class {
+        aim_ns,
+        deadline_ns: figure("deadline_ns", aim_ns as f64) as Nanos,
+        worth: figure("worth", 1.0),
+        late_worth: figure("late_worth", 0.0),
+        repeat: match word(class.get("repeat")).as_str() {
+            "idempotency_key" => Repeat::Keyed(scope),
+            "non_idempotent" => Repeat::Unsafe,
+            "read_like" | "" => Repeat::Safe,
+            other => return fault("classes.repeat", format!("unknown: {other:.40}")),
+        },
+        memory_ns: figure("memory_span_ns", 0.0) as Nanos,
+        pools: pools.filter_map(Value::as_u64).map(|p| p as u32).collect(),
+    })
+}
--- a/crates/lilacpitch/src/wire.rs
+++ b/crates/lilacpitch/src/wire.rs
@@ -4,7 +4,7 @@
 
 use crate::brain::Controller;
 use crate::interface::*;
-use serde_json::Value;
+use crate::settings::Site;
 use std::collections::BTreeMap;
 use std::fmt::{self, Write};
 
@@ -107,27 +107,10 @@
         }
     }
 
-    fn report(&self, names: &[String]) -> Result<Report, Fault> {
-        let mut report = Report::default();
-        let Some(text) = self.get("pressure") else {
-            return Ok(report);
-        };
-        if text.is_empty() || text == "-" {
-            return Ok(report);
-        }
-        for (name, part) in names.iter().zip(text.split(',')) {
-            let value: f64 = match part.parse::<f64>() {
-                Ok(value) if value.is_finite() => value,
-                _ => return fault("pressure", format!("not a number: {part:.40}")),
-            };
-            if value < 0.0 {
-                continue;
-            }
-            if name == "free" {
-                report.free = Some(value);
-            }
-        }
-        Ok(report)
+    fn report(&self, site: &Site) -> Result<Report, Fault> {
+        let text = self.get("pressure").filter(|text| !text.is_empty() && *text != "-");
+        let parts: Vec<&str> = text.map_or(Vec::new(), |text| text.split(',').collect());
+        site.report(|index, _| parts.get(index).copied()).or_else(|what| fault("pressure", what))
     }
 }
 
@@ -151,83 +134,6 @@
     })
 }
 
-/// Reads the settings object of a front's first message, and the names of its report fields.
-pub fn settings(text: &str) -> Result<(Settings, Vec<String>), (String, String)> {
-    let root: Value = serde_json::from_str(text).or_else(|e| fault("info", format!("not JSON: {e}")))?;
-    if !root.is_object() {
-        return fault("info", "not an object");
-    }
-    let at = |path: &str| path.split('.').try_fold(&root, |v, key| v.get(key));
-    let number = |path: &str, default: f64| match at(path) {
-        None | Some(Value::Null) => Ok(default),
-        Some(v) => match v.as_f64() {
-            Some(n) if n.is_finite() => Ok(n),
-            _ => fault(path, "not a number"),
-        },
-    };
-    let span = |path: &str, default: f64| Ok::<Nanos, Fault>(number(path, default)?.max(0.0) as Nanos);
-    let flag = |path: &str, default: bool| match at(path) {
-        None | Some(Value::Null) => Ok(default),
-        Some(v) => v.as_bool().ok_or_else(|| (path.to_string(), "not true or false".to_string())),
-    };
-    let word = |v: Option<&Value>| v.and_then(Value::as_str).unwrap_or("").to_string();
-
-    let mut classes = Vec::new();
-    for (index, class) in at("classes").and_then(Value::as_array).into_iter().flatten().enumerate() {
-        let figure = |key: &str, default: f64| class.get(key).and_then(Value::as_f64).unwrap_or(default);
-        let scope = match word(class.get("dedup_scope")).as_str() {
-            "zone" => Scope::Zone,
-            "cell" => Scope::Number,
-            _ => Scope::All,
-        };
-        let pools = at("family_info.pools_by_class").and_then(|p| p.get(index)).and_then(Value::as_array);
-        let aim_ns = figure("aim_ns", 0.0) as Nanos;
-        if aim_ns == 0 {
-            return fault("classes.aim_ns", "must be above 0");
-        }
-        classes.push(Class {
-            aim_ns,
-            deadline_ns: figure("deadline_ns", aim_ns as f64) as Nanos,
-            worth: figure("worth", 1.0),
-            late_worth: figure("late_worth", 0.0),
-            repeat: match word(class.get("repeat")).as_str() {
-                "idempotency_key" => Repeat::Keyed(scope),
-                "non_idempotent" => Repeat::Unsafe,
-                "read_like" | "" => Repeat::Safe,
-                other => return fault("classes.repeat", format!("unknown: {other:.40}")),
-            },
-            memory_ns: figure("memory_span_ns", 0.0) as Nanos,
-            pools: pools.into_iter().flatten().filter_map(Value::as_u64).map(|p| p as u32).collect(),
-        });
-    }
-    if classes.is_empty() {
-        return fault("classes", "no classes");
-    }
-    let tick_ns = span("tick_ns", 0.0)?;
-    if tick_ns == 0 {
-        return fault("tick_ns", "must be above 0");
-    }
-    let home = number("family_info.home_no", -1.0)?;
-    let retry_after = flag("permissions.retry_after", false)?;
-    let names = at("report.fields").and_then(Value::as_array);
-    let settings = Settings {
-        classes,
-        home: (home >= 0.0).then_some(home as u32),
-        resend_ns: span("family_info.retransmit_ns", 0.0)?,
-        release_ns: span("family_info.release_ns", 0.0)?,
-        max_attempts: number("permissions.max_attempts", 1.0)?.max(1.0) as u32,
-        may_cancel: flag("permissions.cancel", false)?,
-        max_come_back_ns: if retry_after { span("permissions.max_retry_after_ns", 0.0)? } else { 0 },
-        list_on_request: word(at("discovery")) == "on_request",
-        cold_from: number("rules.cold_from", 1.0)?.clamp(0.0, 1.0),
-        cold_ns: span("rules.cold_ns", 0.0)?,
-        tip_multiple: number("rules.tip_multiple", 1.0)?.max(1.0),
-        tick_ns,
-    };
-    let names = names.into_iter().flatten().map(|v| word(Some(v))).collect();
-    Ok((settings, names))
-}
-
 fn entry(fields: &Fields) -> Result<Entry, Fault> {
     Ok(Entry {
         server: fields.uint("server")?,
@@ -267,8 +173,7 @@
 
 struct Hosted {
     controller: Controller,
-    report_fields: Vec<String>,
-    classes: usize,
+    site: Site,
 }
 
 /// One process's fronts: takes lines, gives the reply at each batch's end. The fronts share nothing.
@@ -358,10 +263,9 @@
         if name == "LAUNCH" {
             let seed = fields.uint("seed")?;
             let info = fields.need("info")?;
-            let (settings, report_fields) = settings(info)?;
-            let classes = settings.classes.len();
-            let controller = Controller::new(settings, seed);
-            self.fronts.insert(front, Hosted { controller, report_fields, classes });
+            let site = Site::read(info).map_err(|error| (error.field, error.what))?;
+            let controller = Controller::new(site.settings.clone(), seed);
+            self.fronts.insert(front, Hosted { controller, site });
             return Ok(false);
         }
         if name == "DETACH" {
@@ -388,7 +292,7 @@
             }
             "ASK" => {
                 let class = fields.uint_or("category", 0)? as usize;
-                if class >= hosted.classes {
+                if class >= hosted.site.class_names.len() {
                     return fault("category", "no such class");
                 }
                 Event::Call(Call {
@@ -414,11 +318,11 @@
                 server: fields.uint("server")?,
                 outcome: outcome(&fields)?,
                 closed: fields.flag("closed")?,
-                report: fields.report(&hosted.report_fields)?,
+                report: fields.report(&hosted.site)?,
             },
             "ECHO" => {
                 fields.need("result")?;
-                let report = fields.report(&hosted.report_fields)?;
+                let report = fields.report(&hosted.site)?;
                 Event::Reported { server: fields.uint("server")?, report }
             }
             // Fronts' messages are not used.
