The node's hard cases as tests; gone servers leave the module; room at the limit

Now those that said nothing for 100 ms go first, then the idlest. (2) Where a dead server's address had passed on before its link was made anew, that link went up at the successor and kept the former's calls standing for good (core/list.rs, forget_gone looked at 'up' alone). Now one that is gone leaves once another in service has its number. Also: a spoilt connection is closed at once, where nothing is left to be said (pump.rs lingered 300 ms, and its set-ups with it); one refused connection ends what stands only where no other link lives.

--- /dev/null
+++ b/crates/lilacpitch-edge/tests/node/callers.rs
@@ -0,0 +1,173 @@
+//! Callers' mischief: a refusal that fits where the request can be named, else a close, and never a call.
+
+use crate::standin::*;
+use std::time::Instant;
+
+/// An INVITE whose line of this name is replaced.
+fn with(line: &str, by: &str) -> Vec<u8> {
+    let text = String::from_utf8(invite(&id(5), "dest:0;width:1;via:-1", 3_000, BODY)).unwrap();
+    let start = text.find(line).unwrap();
+    let end = start + text[start..].find("\r\n").unwrap() + 2;
+    format!("{}{by}{}", &text[..start], &text[end..]).into_bytes()
+}
+
+#[test]
+fn figures_and_fields_that_are_none_are_refused_by_name_and_the_connection_goes_on() {
+    let server = Server::start();
+    let node = Node::start(&[&server]);
+    let mut caller = Caller::connect(&node);
+    let bad = [
+        (with("Call-ID", "Call-ID: xyz\r\n"), 400),
+        (with("Call-ID", "Call-ID: 00000000000000FF\r\n"), 400),
+        (with("P-Kind", "P-Kind: no-such-class\r\n"), 400),
+        (with("P-Kind", ""), 400),
+        (with("P-Time-Left", "P-Time-Left: -5\r\n"), 400),
+        (with("P-Time-Left", "P-Time-Left: 1e99\r\n"), 400),
+        (with("P-Time-Left", ""), 400),
+        (with("P-Path", "P-Path: dest:soon\r\n"), 400),
+        (with("P-Path", "P-Path: dest:99999999999999\r\n"), 400),
+        (with("P-Path", "P-Path: dest:0;width:NaN\r\n"), 400),
+        (with("P-Path", "P-Path: ;;;no figure\r\n"), 400),
+        (with("INVITE", "INVITE sip:@net SIP/2.0\r\n"), 404),
+        (with("INVITE", "SUBSCRIBE sip:x@net SIP/2.0\r\n"), 405),
+    ];
+    for (bytes, status) in bad {
+        caller.send(&bytes);
+        let said = caller.next();
+        let text = String::from_utf8_lossy(&bytes);
+        assert_eq!(said.and_then(|said| said.status()), Some(status), "{text}");
+    }
+    caller.request("BYE", &id(99));
+    assert_eq!(caller.next().unwrap().status(), Some(481));
+    assert_eq!(server.all_within(ms(100)).len(), 0, "none was a call");
+    caller.invite(&id(6), 0, 3_000);
+    server.answer(&server.next("launch"), "there");
+    assert_eq!(caller.next().unwrap().body, "there");
+}
+
+#[test]
+fn lengths_that_cannot_be_used_are_answered_where_possible_and_end_the_connection() {
+    let server = Server::start();
+    let node = Node::start(&[&server]);
+    let cases = [
+        ("Content-Length: -1\r\n", Some(400)),
+        ("Content-Length: twelve\r\n", Some(400)),
+        ("Content-Length: 7\r\nContent-Length: 8\r\n", Some(400)),
+        ("Content-Length: 99999999999999999999\r\n", Some(413)),
+        ("Content-Length: 60000000\r\n", Some(413)),
+        ("", Some(400)),
+        ("No colon here\r\n", None),
+        (" folded: 1\r\n", None),
+    ];
+    for (line, status) in cases {
+        let mut caller = Caller::connect(&node);
+        let from = Instant::now();
+        caller.send(&with("Content-Length", line));
+        if status.is_some() {
+            assert_eq!(caller.next().and_then(|said| said.status()), status, "{line:?}");
+        }
+        caller.end();
+        assert!(from.elapsed() < ms(3_000), "{line:?}: {:?}", from.elapsed());
+    }
+    assert_eq!(server.all_within(ms(100)).len(), 0, "none was a call");
+}
+
+#[test]
+fn noise_endless_heads_halves_and_silence_are_closed_within_3_s() {
+    let server = Server::start();
+    let node = Node::start(&[&server]);
+    let noise: Vec<u8> = (0..4000u32).map(|n| ((n * 7919) >> 3) as u8).collect();
+    let endless = [b"INVITE sip:x@net SIP/2.0\r\n".to_vec(), vec![b'a'; 30_000]].concat();
+    let half = invite(&id(3), "dest:0", 3_000, BODY)[..120].to_vec();
+    let half_body = {
+        let all = invite(&id(4), "dest:0", 3_000, BODY);
+        all[..all.len() - 5].to_vec()
+    };
+    let from = Instant::now();
+    let callers: Vec<_> = [noise, endless, half, half_body, Vec::new()]
+        .into_iter()
+        .map(|bytes| {
+            let mut caller = Caller::connect(&node);
+            caller.send(&bytes);
+            caller
+        })
+        .collect();
+    callers.iter().for_each(|caller| _ = caller.end());
+    assert!(from.elapsed() < ms(3_000), "{:?}", from.elapsed());
+    assert_eq!(server.all_within(ms(100)).len(), 0, "none was a call");
+}
+
+#[test]
+fn a_caller_that_has_asked_once_may_stay_silent() {
+    let server = Server::start();
+    let node = Node::start(&[&server]);
+    let mut caller = Caller::connect(&node);
+    caller.invite(&id(1), 0, 3_000);
+    server.answer(&server.next("launch"), "there");
+    assert_eq!(caller.next().unwrap().body, "there");
+    assert_eq!(caller.within(ms(3_500)), None);
+    caller.invite(&id(2), 0, 3_000);
+    server.answer(&server.next("launch"), "again");
+    assert_eq!(caller.next().unwrap().body, "again");
+}
+
+#[test]
+fn sixty_megabytes_are_refused_from_the_head_and_not_kept() {
+    let server = Server::start();
+    let node = Node::start(&[&server]);
+    let mut caller = Caller::connect(&node);
+    caller.send(&with("Content-Length", "Content-Length: 60000000\r\n"));
+    assert_eq!(caller.next().and_then(|said| said.status()), Some(413), "before the body has come");
+    let part = vec![b'x'; 1 << 20];
+    let mut writer = caller.stream.try_clone().unwrap();
+    std::thread::spawn(move || (0..60).all(|_| std::io::Write::write_all(&mut writer, &part).is_ok()));
+    caller.end();
+    assert!(node.memory_mb() < 32, "{} MB", node.memory_mb());
+}
+
+#[test]
+fn hundreds_at_once_and_withdrawn_at_once_leave_the_usual_callers_served() {
+    let server = Server::start();
+    let node = Node::start(&[&server]);
+    let (mut rude, mut usual) = (Caller::connect(&node), Caller::connect(&node));
+    let mut flood = Vec::new();
+    for call in 1000..1400 {
+        flood.extend(invite(&id(call), "dest:0", 3_000, BODY));
+        let cancel = format!(
+            "CANCEL sip:x@net SIP/2.0\r\nCall-ID: {}\r\nCSeq: 1 CANCEL\r\nContent-Length: 0\r\n\r\n",
+            id(call)
+        );
+        flood.extend(cancel.as_bytes());
+    }
+    rude.send(&flood);
+    usual.invite(&id(1), 0, 3_000);
+    let launched = loop {
+        let line = server.next("launch");
+        if line.uid() == id(1) {
+            break line;
+        }
+    };
+    server.answer(&launched, "there");
+    assert_eq!(usual.next().unwrap().body, "there");
+    // What was withdrawn has no final answer of the node's but what said that no call was there.
+    let answers = rude.all_within(ms(300));
+    assert!(answers.iter().all(|said| said.status() != Some(200)), "{answers:?}");
+}
+
+#[test]
+fn a_caller_that_does_not_read_is_cut_off_and_others_do_not_feel_it() {
+    let server = Server::start();
+    let node = Node::start(&[&server]);
+    // Its answers are never read: no reader thread here.
+    let mut deaf = std::net::TcpStream::connect(node.address).unwrap();
+    deaf.set_write_timeout(Some(SOON)).unwrap();
+    let mut flood = Vec::new();
+    (0..400).for_each(|call| flood.extend(invite(&id(call), "dest:x", 3_000, BODY)));
+    let cut = (0..400).any(|_| std::io::Write::write_all(&mut deaf, &flood).is_err());
+    assert!(cut, "it is not read on for ever");
+    let mut usual = Caller::connect(&node);
+    usual.invite(&id(1), 0, 3_000);
+    server.answer(&server.next("launch"), "there");
+    assert_eq!(usual.next().unwrap().body, "there");
+    assert!(node.memory_mb() < 32, "{} MB", node.memory_mb());
+}
--- /dev/null
+++ b/crates/lilacpitch-edge/tests/node/limits.rs
@@ -0,0 +1,59 @@
+//! Descriptors near their limit.
+
+use crate::standin::*;
+
+#[test]
+fn the_silent_by_the_hundred_leave_room_for_usual_callers() {
+    let (server, other) = (Server::start(), Server::start());
+    let node = Node::with(&[&server, &other], 128);
+    let mut usual = Caller::connect(&node);
+    usual.invite(&id(1), 0, 4_000);
+    let first = server.next("launch");
+    // More than the limit, and they say nothing.
+    let silent: Vec<_> = (0..300).map(|_| Caller::connect(&node)).collect();
+    let mut late = Caller::connect(&node);
+    late.invite(&id(2), 1, 4_000);
+    other.answer(&other.next("launch"), "late");
+    assert_eq!(late.next().unwrap().body, "late");
+    assert!(node.descriptors() <= 128, "{}", node.descriptors());
+    server.answer(&first, "there");
+    assert_eq!(usual.next().map(|said| said.body), Some("there".into()), "an open set-up's is not closed");
+    silent.iter().for_each(|caller| _ = caller.end());
+    assert!(node.descriptors() < 64, "{}", node.descriptors());
+}
+
+#[test]
+fn at_the_limit_the_newest_connection_is_not_the_one_to_go() {
+    let server = Server::start();
+    let node = Node::with(&[&server], 96);
+    // Kept open after their calls: more than the limit.
+    let mut kept = Vec::new();
+    for call in 1..=60 {
+        let mut caller = Caller::connect(&node);
+        caller.invite(&id(call), 0, 3_000);
+        let launch = server.next("launch");
+        server.answer(&launch, "there");
+        assert_eq!(caller.next().unwrap().body, "there");
+        kept.push(caller);
+    }
+    assert!(node.descriptors() <= 96, "{}", node.descriptors());
+}
+
+#[test]
+fn connections_that_come_and_go_leave_nothing_behind() {
+    let server = Server::start();
+    let node = Node::start(&[&server]);
+    let before = node.descriptors();
+    for call in 1..=200 {
+        let mut caller = Caller::connect(&node);
+        caller.invite(&id(call), 0, 3_000);
+        let launch = server.next("launch");
+        server.answer(&launch, "there");
+        assert_eq!(caller.next().unwrap().body, "there");
+        server.stop(launch.conn, &id(call), 16, serde_json::json!({}));
+        assert!(caller.next().unwrap().is_bye());
+        caller.close();
+    }
+    std::thread::sleep(ms(300));
+    assert!(node.descriptors() <= before + 8, "{before} before, {} after", node.descriptors());
+}
--- /dev/null
+++ b/crates/lilacpitch-edge/tests/node/main.rs
@@ -0,0 +1,11 @@
+//! The front node's hard cases: a real process on loopback between scripted callers, signalling servers and a
+//! coordinator, judged by what crosses the sockets.
+
+mod callers;
+mod coordinator;
+mod ids;
+mod limits;
+mod servers;
+mod signals;
+mod standin;
+mod standing;
--- /dev/null
+++ b/crates/lilacpitch-edge/tests/node/servers.rs
@@ -0,0 +1,173 @@
+//! Servers that spoil, break off, vanish, or pass their address on.
+
+use crate::standin::*;
+use serde_json::json;
+use std::net::TcpListener;
+
+/// What a server may send in an answer's place; each spoils its connection and nothing else.
+fn spoilt() -> Vec<(&'static str, Vec<u8>)> {
+    vec![
+        ("noise", (0..200u8).chain(*b"\n").collect()),
+        ("broken JSON", b"{\"kind\":\"running\",\"uid\":\"00000000000000\n".to_vec()),
+        (
+            "bad UTF-8",
+            b"{\"kind\":\"running\",\"uid\":\"0000000000000001\",\"meta\":{},\"body\":\"\xff\"}\n".to_vec(),
+        ),
+        (
+            "a field of another form",
+            b"{\"kind\":\"stop\",\"uid\":\"0000000000000001\",\"reason\":\"x\"}\n".to_vec(),
+        ),
+        ("a line without an end", vec![b'x'; 20_000]),
+    ]
+}
+
+#[test]
+fn spoilt_answers_cost_their_connection_alone() {
+    for (what, bytes) in spoilt() {
+        let server = Server::start();
+        let node = Node::start(&[&server]);
+        let mut caller = Caller::connect(&node);
+        caller.invite(&id(7), 0, 3_000);
+        let stands = server.next("launch");
+        server.answer(&stands, "there");
+        assert_eq!(caller.next().unwrap().body, "there");
+        caller.invite(&id(1), 0, 3_000);
+        let launch = server.next("launch");
+        server.write(launch.conn, &bytes);
+        let again = server.next("launch");
+        assert!(
+            again.conn != launch.conn && again.at - launch.at >= ms(290),
+            "{what}: waits for the release"
+        );
+        server.answer(&again, "right");
+        assert_eq!(caller.next().unwrap().body, "right", "{what}");
+        assert_eq!(caller.within(ms(100)), None, "{what}: what stands goes on");
+    }
+}
+
+#[test]
+fn an_answer_that_stops_short_ends_with_its_connection() {
+    let server = Server::start();
+    let node = Node::start(&[&server]);
+    let mut caller = Caller::connect(&node);
+    caller.invite(&id(1), 0, 3_000);
+    let launch = server.next("launch");
+    server.write(launch.conn, format!("{{\"kind\":\"running\",\"uid\":\"{}\",\"bo", id(1)).as_bytes());
+    server.reset(launch.conn);
+    let again = server.next("launch");
+    server.answer(&again, "right");
+    assert_eq!(caller.next().unwrap().body, "right");
+}
+
+#[test]
+fn one_servers_trouble_does_not_delay_anothers_messages() {
+    let (bad, good) = (Server::start(), Server::start());
+    let node = Node::start(&[&bad, &good]);
+    let mut caller = Caller::connect(&node);
+    caller.invite(&id(1), 0, 3_000);
+    let stuck = bad.next("launch");
+    // Half a line, and nothing more.
+    bad.write(stuck.conn, b"{\"kind\":\"runn");
+    for call in 2..12 {
+        caller.invite(&id(call), 1, 3_000);
+        let launch = good.next("launch");
+        good.answer(&launch, "quick");
+        let said = caller.next().unwrap();
+        assert_eq!((said.call(), &said.body[..]), (&id(call)[..], "quick"));
+    }
+}
+
+#[test]
+fn nobody_listening_is_no_attempt_that_ran() {
+    let (gone, there) = (Server::start(), Server::start());
+    gone.die();
+    let node = Node::start(&[&gone, &there]);
+    let mut caller = Caller::connect(&node);
+    caller.invite(&id(1), 0, 3_000);
+    let launch = there.next("launch");
+    there.answer(&launch, "there");
+    assert_eq!(caller.next().unwrap().body, "there");
+}
+
+#[test]
+fn an_address_that_passes_to_another_server_ends_the_formers_calls_alone() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let server = Server::on(listener);
+    let node = Node::start(&[&server]);
+    let mut caller = Caller::connect(&node);
+    caller.invite(&id(1), 0, 3_000);
+    let launch = server.next("launch");
+    server.answer(&launch, "there");
+    assert_eq!(caller.next().unwrap().body, "there");
+    server.die();
+    let next = Server::on(TcpListener::bind(server.address).unwrap());
+    node.coordinator.tell(vec![
+        target("s0", server.address, 0, "terminated", 0),
+        target("s9", next.address, 0, "in_service", unix_ms()),
+    ]);
+    let bye = caller.next().unwrap();
+    assert!(bye.is_bye() && bye.call() == id(1), "{bye:?}");
+    // The new one is cold: its share adds up, so several calls are tried.
+    for call in 2..40 {
+        caller.invite(&id(call), 0, 1_500);
+        if let Some(launch) = next.within("launch", ms(300)) {
+            next.answer(&launch, "new");
+            break;
+        }
+    }
+    let heard = caller.all_within(ms(500));
+    assert!(heard.iter().any(|said| said.body == "new"), "{heard:?}");
+    assert!(!heard.iter().any(|said| said.is_bye()), "{heard:?}");
+}
+
+#[test]
+fn a_server_that_goes_silent_is_noticed_and_what_stands_there_released_within_8_s() {
+    let (quiet, other) = (Server::start(), Server::start());
+    let node = Node::start(&[&quiet, &other]);
+    let mut caller = Caller::connect(&node);
+    caller.invite(&id(1), 0, 3_000);
+    let launch = quiet.next("launch");
+    quiet.answer(&launch, "there");
+    assert_eq!(caller.next().unwrap().body, "there");
+    // Gone without a sign: connections stay open and silent, and a full backlog lets no new one come up.
+    let dead = silent_server();
+    node.coordinator.tell(vec![target("s0", dead.0, 0, "in_service", 0)]);
+    // Moved by the list: the former process is no more.
+    assert!(caller.next().unwrap().is_bye());
+    caller.invite(&id(2), 0, 3_000);
+    let elsewhere = other.next("launch");
+    other.answer(&elsewhere, "elsewhere");
+    assert_eq!(caller.next().unwrap().body, "elsewhere");
+    // A call that is said to stand there: the server says nothing, and can't be reached.
+    let from = std::time::Instant::now();
+    caller.send(&invite(&id(3), "at:s0", 3_000, BODY));
+    let bye = caller.next().unwrap();
+    assert!(bye.is_bye() && bye.call() == id(3), "{bye:?}");
+    assert!(from.elapsed() < ms(8_000), "{:?}", from.elapsed());
+}
+
+#[test]
+fn what_the_node_believes_is_what_passed_on_the_sockets() {
+    let server = Server::start();
+    let node = Node::traced(&[&server]);
+    let mut caller = Caller::connect(&node);
+    let mut out = Vec::new();
+    for call in 1..=12 {
+        caller.invite(&id(call), 0, 3_000);
+        let launch = server.next("launch");
+        if call <= 9 {
+            server.answer(&launch, "there");
+            assert_eq!(caller.next().unwrap().status(), Some(200));
+        } else {
+            out.push(launch);
+        }
+    }
+    server.stop(out[0].conn, &id(1), 16, json!({}));
+    assert!(caller.next().unwrap().is_bye());
+    let believed = node.last_belief(&out[2].uid());
+    // 9 answers less one that ended stand; of 3 without an answer none had the time to be given up.
+    assert!(believed.contains("unanswered=3 stood=9 "), "when the last was sent: {believed}");
+    assert!(believed.contains("open=3 standing=9"), "{believed}");
+    let believed = node.last_belief("call=1 ");
+    assert!(believed.contains("unanswered=3 stood=9 ") && believed.contains("standing=8"), "{believed}");
+}
--- /dev/null
+++ b/crates/lilacpitch-edge/tests/node/signals.rs
@@ -0,0 +1,112 @@
+//! HUP under load, also with a broken file; TERM under load, with late arrivals; a configuration that is wrong.
+
+use crate::standin::*;
+use nix::sys::signal::Signal;
+use serde_json::json;
+use std::process::Command;
+use std::time::Instant;
+
+#[test]
+fn hup_moves_to_another_coordinator_and_keeps_every_call() {
+    let (first, second) = (Server::start(), Server::start());
+    let mut node = Node::start(&[&first, &second]);
+    let mut caller = Caller::connect(&node);
+    caller.invite(&id(1), 0, 3_000);
+    let stands = first.next("launch");
+    first.answer(&stands, "there");
+    assert_eq!(caller.next().unwrap().body, "there");
+    caller.invite(&id(2), 0, 3_000);
+    let out = first.next("launch");
+    // A broken file: reported, and the old one stays.
+    node.replace_config("{\"name\": ");
+    node.signal(Signal::SIGHUP);
+    std::thread::sleep(ms(200));
+    assert!(node.runs());
+    let known = node.coordinator.known();
+    let events = known["updates"].as_array().unwrap().clone();
+    let moved = Coordinator::start(events);
+    node.move_to(&moved);
+    node.signal(Signal::SIGHUP);
+    std::thread::sleep(ms(300));
+    assert!(moved.asks() > 0, "it asks where the file says");
+    moved.tell(vec![target("s0", first.address, 0, "terminating", 0)]);
+    first.answer(&out, "still");
+    assert_eq!(caller.next().unwrap().body, "still");
+    std::thread::sleep(ms(500));
+    caller.invite(&id(3), 0, 3_000);
+    second.answer(&second.next("launch"), "elsewhere");
+    assert_eq!(caller.next().unwrap().body, "elsewhere");
+    first.stop(stands.conn, &id(1), 16, json!({}));
+    assert!(caller.next().unwrap().is_bye(), "what stood before goes on");
+}
+
+#[test]
+fn term_serves_late_arrivals_answers_what_is_open_and_leaves_before_the_kill() {
+    let (server, other) = (Server::start(), Server::start());
+    let mut node = Node::start(&[&server, &other]);
+    let mut caller = Caller::connect(&node);
+    caller.invite(&id(1), 0, 3_000);
+    let stands = server.next("launch");
+    server.answer(&stands, "there");
+    assert_eq!(caller.next().unwrap().body, "there");
+    caller.invite(&id(2), 0, 2_000);
+    let open = server.next("launch");
+    let term = Instant::now();
+    node.signal(Signal::SIGTERM);
+    std::thread::sleep(ms(200));
+    let mut late = Caller::connect(&node);
+    late.request("OPTIONS", &id(50));
+    assert_eq!(late.next().unwrap().status(), Some(503), "no test is passed any more");
+    late.invite(&id(3), 1, 2_000);
+    let arrived = other.next("launch");
+    server.answer(&open, "open");
+    assert_eq!(caller.next().unwrap().body, "open");
+    other.answer(&arrived, "late");
+    assert_eq!(late.next().unwrap().body, "late");
+    assert_eq!(node.exit_code(ms(4_000)), Some(0));
+    assert!(term.elapsed() > ms(650), "late arrivals were waited for: {:?}", term.elapsed());
+    let cut = server.all_within(ms(100)).iter().any(|l| l.kind() == "stop");
+    assert!(!cut, "what stands is not cut by leaving");
+}
+
+#[test]
+fn term_leaves_in_time_though_a_server_never_answers() {
+    let server = Server::start();
+    let mut node = Node::start(&[&server]);
+    let mut caller = Caller::connect(&node);
+    caller.invite(&id(1), 0, 4_000);
+    server.next("launch");
+    node.signal(Signal::SIGTERM);
+    let final_answer = caller.all_within(ms(4_500));
+    assert_eq!(final_answer.iter().filter(|said| said.status() >= Some(300)).count(), 1, "{final_answer:?}");
+    // The longest deadline and 0.7 s: then comes the kill.
+    assert_eq!(node.exit_code(ms(4_700)), Some(0));
+}
+
+#[test]
+fn a_configuration_that_is_wrong_is_one_clear_line_and_exit_code_2() {
+    let run = |text: Option<&str>| {
+        let folder = tempfile::tempdir().unwrap();
+        let path = folder.path().join("config.json");
+        text.iter().for_each(|text| std::fs::write(&path, text).unwrap());
+        let out = Command::new(env!("CARGO_BIN_EXE_lilacpitch-edge"))
+            .arg("node")
+            .env("BALANCER_CONFIG", &path)
+            .output()
+            .unwrap();
+        let lines = String::from_utf8(out.stderr).unwrap();
+        assert_eq!((out.status.code(), lines.lines().count()), (Some(2), 1), "{lines}");
+        assert!(lines.contains("config.json"), "names the file: {lines}");
+        lines
+    };
+    run(None);
+    assert!(run(Some("{")).contains("configuration"));
+    let at = "127.0.0.1:9".parse().unwrap();
+    let good = config_text(at, at, &json!({"index": 0, "updates": []}), 256);
+    assert!(run(Some(&good.replace("\"seed\"", "\"need\""))).contains("seed"));
+    assert!(run(Some(&good.replace("8c1f30d27a5be964", "xyz"))).contains("seed"));
+    assert!(run(Some(&good.replace("\"tick_ns\":5000000", "\"tick_ns\":0"))).contains("settings.tick_ns"));
+    assert!(run(Some(&good.replace("\"classes\"", "\"glasses\""))).contains("settings.classes"));
+    assert!(run(Some(&good.replace("\"sockets\":256", "\"sockets\":8"))).contains("limits.sockets"));
+    assert!(run(Some(&good.replace("\"index\":0", "\"index\":\"x\""))).contains("known"));
+}
--- a/crates/lilacpitch-node/src/core/callers.rs
+++ b/crates/lilacpitch-node/src/core/callers.rs
@@ -10,6 +10,9 @@
 /// Longest time that a caller may say it waits, in milliseconds: an hour.
 const MAX_LEFT_MS: u64 = 3_600_000;
 
+/// A caller who connects to ask does so within this time; where room is short, others are not waited for.
+const FIRST_WORD_NS: Nanos = 100_000_000;
+
 /// A caller's connection.
 #[derive(Debug)]
 pub(super) struct Caller {
@@ -140,11 +143,14 @@
         caller.open.into_iter().for_each(|call| self.caller_gives_up(call, effects));
     }
 
-    /// Closes the connection without an open set-up that is idle for longest.
+    /// Closes a connection without an open set-up: one that never asked, unless it has only just come, else the
+    /// one that is idle for longest.
     pub(super) fn make_room(&mut self, effects: &mut Vec<Effect>) {
+        let now = self.now;
         let idle = self.callers.iter().filter(|(_, caller)| caller.open.is_empty());
-        let longest = idle.min_by_key(|(_, caller)| (caller.proven, caller.last_ns)).map(|(id, _)| *id);
-        if let Some(id) = longest {
+        let mute = |caller: &Caller| !caller.proven && now - caller.last_ns > FIRST_WORD_NS;
+        let first = idle.min_by_key(|(_, caller)| (!mute(caller), caller.last_ns)).map(|(id, _)| *id);
+        if let Some(id) = first {
             self.callers.remove(&id);
             effects.push(Effect::CloseCaller(id));
         }
--- a/crates/lilacpitch-node/src/core/links.rs
+++ b/crates/lilacpitch-node/src/core/links.rs
@@ -212,8 +212,9 @@
         self.counters.links_lost += 1;
         if !link.up {
             row.unreached_ns = row.unreached_ns.or(Some(now));
-            if refused {
-                // Nobody listens there: the process is gone, and its calls with it.
+            let others = row.links.iter().any(|link| self.links.get(link).is_some_and(|l| l.up));
+            if refused && !others {
+                // Nobody listens there, and no connection lives: the process is gone, and its calls with it.
                 let standing: Vec<_> = row.standing.iter().copied().collect();
                 standing.into_iter().for_each(|call| self.orphaned(call, effects));
             }
--- a/crates/lilacpitch-node/src/core/list.rs
+++ b/crates/lilacpitch-node/src/core/list.rs
@@ -123,8 +123,14 @@
             return;
         }
         let up = row.links.iter().any(|link| self.links.get(link).is_some_and(|l| l.up));
-        if !up {
-            // Gone by the list's word, and no connection says otherwise.
+        let address = row.address;
+        let taken = self
+            .servers
+            .values()
+            .any(|s| s.entry.availability == Availability::Ready && s.address == address);
+        let Some(row) = self.servers.get(&id) else { return };
+        if !up || taken {
+            // Gone by the list's word, and no connection says otherwise, or none that is surely its own.
             let standing: Vec<_> = row.standing.iter().copied().collect();
             standing.into_iter().for_each(|call| self.orphaned(call, effects));
         }
--- a/crates/lilacpitch-node/src/core/mod.rs
+++ b/crates/lilacpitch-node/src/core/mod.rs
@@ -233,6 +233,23 @@
         (self.callers.len(), self.links.len())
     }
 
+    /// How much is kept, by name: for tests that nothing keeps growing.
+    #[doc(hidden)]
+    pub fn sizes(&self) -> Vec<(&'static str, usize)> {
+        let own = [
+            ("callers", self.callers.len()),
+            ("calls", self.calls.len()),
+            ("ids of calls", self.by_wire.len()),
+            ("servers", self.servers.len()),
+            ("ids of servers", self.by_uid.len()),
+            ("links", self.links.len()),
+            ("set-ups given up", self.links.values().map(|link| link.given_up.len()).sum()),
+            ("timers", self.timers.len()),
+            ("releases unsent", self.unsent.len()),
+        ];
+        own.into_iter().chain(self.brain.sizes()).collect()
+    }
+
     fn fire_due(&mut self, effects: &mut Vec<Effect>) {
         while let Some(timer) = self.timers.pop_due(self.now) {
             match timer {
@@ -248,8 +265,10 @@
     /// Feeds the module what is due to it, and does what it says, until nothing is left.
     fn run_follow(&mut self, effects: &mut Vec<Effect>) {
         while let Some(event) = self.follow.pop_front() {
+            let traced = tracing::enabled!(tracing::Level::TRACE).then(|| event.clone());
             let mut actions = std::mem::take(&mut self.actions);
             self.brain.handle(self.now, event, &mut actions);
+            traced.iter().for_each(|event| self.trace(event, &actions));
             for action in actions.drain(..) {
                 match action {
                     Action::Send { call, server, timeout_ns } => self.send(call, server, timeout_ns, effects),
@@ -265,6 +284,38 @@
         }
     }
 
+    /// One record of each attempt that is sent, stands or ends, with what the module then believes of its server.
+    fn trace(&self, event: &Event, actions: &[Action]) {
+        let of = |call: &CallId| self.calls.get(call).map(|call| call.wire);
+        let believed = |what: &str, call: u64, wire: Option<u64>, server: ServerId| {
+            let Some(row) = self.servers.get(&server) else { return };
+            let Some(fact) = self.brain.facts().into_iter().find(|fact| fact.server == server) else {
+                return;
+            };
+            let (open, standing) = self.calls_now();
+            tracing::trace!(
+                "believed: {what} call={call} wire={:016x} server={} unanswered={} stood={} wait_ms={} suspect={} \
+                 open={open} standing={standing}",
+                wire.unwrap_or(0), row.uid, fact.out, fact.stood, fact.wait_ns / 1_000_000, fact.suspect
+            );
+        };
+        match event {
+            Event::Standing { call, .. } => {
+                let server = self.calls.get(call).and_then(|call| call.attempt).map(|a| a.server);
+                server.iter().for_each(|server| believed("stands", *call, of(call), *server));
+            }
+            Event::Settled { call, server, outcome, .. } => {
+                believed(&format!("{outcome:?}"), *call, of(call), *server);
+            }
+            _ => {}
+        }
+        for action in actions {
+            if let Action::Send { call, server, .. } = action {
+                believed("sent", *call, of(call), *server);
+            }
+        }
+    }
+
     fn on_stop(&mut self) {
         if !self.stopping {
             tracing::info!(calls = self.calls.len(), "stopping once late arrivals have their answers");
--- a/crates/lilacpitch-node/src/net/pump.rs
+++ b/crates/lilacpitch-node/src/net/pump.rs
@@ -130,16 +130,18 @@
             bytes.extend_from_slice(&message.bytes);
         }
     }
-    let left = tokio::time::timeout(LINGER, async {
-        stream.write_all(&bytes[sent..]).await?;
-        stream.shutdown().await?;
-        // Closing on bytes that were not read would take back what was just said.
-        while !matches!(throw_away(&stream), Ok(0)) {
-            stream.readable().await?;
-        }
-        io::Result::Ok(())
-    });
-    let _ = left.await;
+    if sent < bytes.len() {
+        let left = tokio::time::timeout(LINGER, async {
+            stream.write_all(&bytes[sent..]).await?;
+            stream.shutdown().await?;
+            // Closing on bytes that were not read would take back what was just said.
+            while !matches!(throw_away(&stream), Ok(0)) {
+                stream.readable().await?;
+            }
+            io::Result::Ok(())
+        });
+        let _ = left.await;
+    }
     Ended { written, why }
 }
 
--- a/crates/lilacpitch/src/brain.rs
+++ b/crates/lilacpitch/src/brain.rs
@@ -221,11 +221,9 @@
             }
             News::Changes(entries) => entries,
             News::Full(entries) => {
-                for server in self.servers.values_mut() {
-                    if !entries.iter().any(|e| e.server == server.entry.server) {
-                        server.entry.availability = Availability::Gone;
-                    }
-                }
+                let listed = |s: &Server| entries.iter().any(|e| e.server == s.entry.server);
+                let gone = self.servers.values_mut().filter(|s| !listed(s));
+                gone.for_each(|s| s.entry.availability = Availability::Gone);
                 entries
             }
         };
@@ -248,6 +246,11 @@
             server.credit = self.drawn();
             self.servers.insert(id, server);
         }
+        // What is gone leaves once another has its number, and its rate with it.
+        let used = self.servers.values().filter(|s| s.in_service()).map(|s| s.entry.number);
+        let used: BTreeSet<u32> = used.collect();
+        let gone = |s: &Server| s.entry.availability == Availability::Gone && s.out.is_empty();
+        self.servers.retain(|_, s| !(gone(s) && used.contains(&s.entry.number)));
     }
 
     fn on_call(&mut self, call: Call, actions: &mut Vec<Action>) {
@@ -542,11 +545,8 @@
     }
 
     fn forget(&mut self, id: CallId) {
-        if let Some(row) = self.take(id) {
-            if let Some(server) = self.servers.get_mut(&row.server) {
-                server.out.retain(|o| o.call != id);
-            }
-        }
+        let Some(row) = self.take(id) else { return };
+        self.servers.entry(row.server).and_modify(|s| s.out.retain(|o| o.call != id));
     }
 
     // ---- Whose turn it is ----
--- a/crates/lilacpitch/src/brain/state.rs
+++ b/crates/lilacpitch/src/brain/state.rs
@@ -104,3 +104,17 @@
         self.out.iter().find(|o| !o.overtaken).map(|o| o.sent_ns)
     }
 }
+
+impl super::Controller {
+    /// How much is kept, by name: for tests that nothing keeps growing.
+    #[doc(hidden)]
+    pub fn sizes(&self) -> Vec<(&'static str, usize)> {
+        vec![
+            ("module's servers", self.servers.len()),
+            ("module's calls", self.calls.len()),
+            ("module's unserved numbers", self.unserved.len()),
+            ("module's busy numbers", self.busy.len()),
+            ("module's unanswered", self.servers.values().map(|s| s.out.len()).sum()),
+        ]
+    }
+}
