A call that failed at a server goes elsewhere where another is open

Checked with records of attempts (each with what the module believed): the pick sent such a call to its first choice again at once, up to the sixth attempt, and refused it, with the other server open and well. Ruled out: late lists, lost connections (none), the restart (no call lost to it). At fault: counts.rs, pick: the first choice ranked first whatever had become of the call there. Now the server of the call's last attempt ranks last. What it guards against beside faults: lost set-ups, cuts, refusals without a wait. It could harm where the other is a cold server that is nearly full; its share is paced all the same.

--- a/crates/lilacpitch/src/brain.rs
+++ b/crates/lilacpitch/src/brain.rs
@@ -587,9 +587,9 @@
 
     /// All that the pick goes by in a held call.
     fn likeness(&self, row: &Row) -> Likeness {
-        let (call, ran) = (row.call, row.may_have_run);
+        let (call, ran, failed) = (row.call, row.may_have_run, (row.attempts > 0).then_some(row.server));
         let flags = [call.again, call.in_transit, self.is_late(row)];
-        (call.class, call.first_choice, call.width.to_bits(), flags, ran)
+        (call.class, call.first_choice, call.width.to_bits(), flags, ran, failed)
     }
 
     /// One timer at a time: the next period's end, or sooner when a call's release or patience runs out.
--- a/crates/lilacpitch/src/brain/counts.rs
+++ b/crates/lilacpitch/src/brain/counts.rs
@@ -110,12 +110,11 @@
         }
     }
 
-    /// The pool pick among the servers that the rules and the tiers leave: the first choice, else the one of
-    /// two drawn with fewer of this front's set-ups unanswered. Where several servers share the number of the
-    /// first choice, the two are drawn among those.
+    /// The pool pick among the servers that the rules and the tiers leave: the first choice, else the one of two
+    /// drawn with fewer set-ups unanswered; the two of the first choice's number, where several have it.
     pub(super) fn pick(&mut self, id: CallId) -> Option<ServerId> {
         let row = self.calls.get(&id)?;
-        let (mut first, mut open) = (Vec::new(), Vec::new());
+        let mut open = Vec::new();
         for server in self.servers.values() {
             if !self.may_send(row, server) || self.holds_back(server, row) {
                 continue;
@@ -124,16 +123,17 @@
             let waits = |wait| wait > share(self.gap_ns, TOLD_LONG_OF);
             let long = server.told_out > 1 && server.told_wait_ns.is_some_and(waits);
             let chosen = server.entry.number == row.call.first_choice && !long;
-            let to = if chosen { &mut first } else { &mut open };
-            to.push((server.out.len() + server.told_out, self.expected_wait_ns(server), server.entry.server));
-        }
-        let open = if first.is_empty() { open } else { first };
-        if open.len() < 2 {
-            return open.first().map(|(_, _, server)| *server);
+            // Where the call has just failed it may do so again: there only if no other is open.
+            let failed = row.attempts > 0 && row.server == server.entry.server;
+            let rank = u8::from(!chosen) + 2 * u8::from(failed);
+            let unanswered = server.out.len() + server.told_out;
+            open.push((rank, unanswered, self.expected_wait_ns(server), server.entry.server));
         }
+        let best = open.iter().map(|(rank, ..)| *rank).min()?;
+        open.retain(|(rank, ..)| *rank == best);
         let one = (self.drawn() * open.len() as f64) as usize;
         let other = (one + 1 + (self.drawn() * (open.len() - 1) as f64) as usize) % open.len();
-        Some(open[one].min(open[other]).2)
+        Some(open[one].min(open[other]).3)
     }
 
     /// 'Processor full', a time-out, or a set-up late enough to become one: the ceiling goes to this front's
--- a/crates/lilacpitch/src/brain/state.rs
+++ b/crates/lilacpitch/src/brain/state.rs
@@ -86,8 +86,9 @@
     pub(super) may_have_run: Option<(u32, u32, Nanos)>,
 }
 
-/// What the pick goes by in a call: class, first choice, width, flags, and the attempt that may have run.
-pub(super) type Likeness = (usize, u32, u64, [bool; 3], Option<(u32, u32, Nanos)>);
+/// What the pick goes by in a call: class, first choice, width, flags, the attempt that may have run, and where
+/// the last one failed.
+pub(super) type Likeness = (usize, u32, u64, [bool; 3], Option<(u32, u32, Nanos)>, Option<ServerId>);
 
 impl Server {
     /// What stood here, over the time it took, both fading.
--- a/crates/lilacpitch/tests/mechanism.rs
+++ b/crates/lilacpitch/tests/mechanism.rs
@@ -437,6 +437,33 @@
     assert!(sent_to(&done, id).is_some());
 }
 
+#[test]
+fn a_call_that_met_a_fault_goes_elsewhere_where_another_is_open() {
+    // A front node's day: one server of two answered most set-ups by a fault, at once. Calls whose first choice it
+    // was went there again, up to the last attempt, and were refused beside a server that was well.
+    let mut front = Front::new(settings(), &two());
+    front.steady(200 * MS, 4 * S);
+    for _ in 0..10 {
+        let (id, first) = front.call(0);
+        let first = sent_to(&first, id).unwrap();
+        let done = front.settled(id, 0, first, Outcome::Fault);
+        let second = sent_to(&done, id).unwrap();
+        assert_ne!(second, first);
+        // Faults there too: what is left is tried again.
+        let done = front.settled(id, 1, second, Outcome::Fault);
+        assert_eq!(sent_to(&done, id), Some(first));
+        front.stands(id, 2);
+        front.pass(100 * MS);
+    }
+    let mut alone = Front::new(settings(), &[entry(11, 1)]);
+    let (id, _) = alone.call(0);
+    assert_eq!(
+        sent_to(&alone.settled(id, 0, 11, Outcome::Fault), id),
+        Some(11),
+        "with none other, there again"
+    );
+}
+
 #[test]
 fn a_quick_server_that_loses_one_set_up_gets_a_scout_and_keeps_no_ceiling() {
     // Incident ifd31ec: servers that lose a third of their set-ups were left almost unused.
