--- a/crates/lilacpitch-node/src/core/links.rs
+++ b/crates/lilacpitch-node/src/core/links.rs
@@ -143,6 +143,7 @@
                     self.released_by_server(call, cause, report, effects);
                 } else {
                     // The end of what was given up, or of what was told before.
+                    tracing::trace!("late: an end of {uid:016x}, cause {cause} {note}, server={server}");
                     let known = self.links.get_mut(&id).and_then(|l| l.given_up.remove(&uid)).is_some();
                     self.counters.strays += u64::from(!known);
                     self.follow.push_back(Event::Reported { server, report });
@@ -172,6 +173,8 @@
     /// An answer to what was given up is released there; one to what was never sent means nothing.
     fn on_stray_answer(&mut self, id: LinkId, server: ServerId, wire: u64, effects: &mut Vec<Effect>) {
         self.counters.strays += 1;
+        let uid = self.servers.get(&server).map_or("", |row| &row.uid);
+        tracing::trace!("late: an answer to {wire:016x}, which is not out on that connection, server={uid}");
         let given_up = self.links.get(&id).is_some_and(|l| l.given_up.contains_key(&wire));
         // The id alone names what to release: never where the call is at the same server anew.
         let anew = self.by_wire.get(&wire).and_then(|call| self.calls.get(call)?.attempt);
