Waits are counted beyond the shortest delay seen at a server

Measured with records of attempts before anything was changed: of the resend gap of 100 ms the shortest delays were 39 to 56 ms, the median 57 and the tenth longest 75 ms, so what was waited in line was 17 to 35 ms; yet the module read whole delays as waits, took half a gap for 'not quick' and a gap for late, and held back. Ruled out: answers that came late (none), the other server's suspicion (slowed four times, it can take 5 % of the load), the socket path (0.1 ms at the median). At fault: brain.rs, answered (delay from sent_ns), counts.rs, expected_wait_ns (set-ups on their way counted as a backlog). Now each server has a shortest delay, and what is no older than it does not wait. Where a server's delays were never short, nothing changes; where its way grows longer for good, it acts as before. State in state.rs. Three tests of the mechanism name longer spans now, since their set-ups take 100 to 250 ms on their way.

--- a/crates/lilacpitch/src/brain.rs
+++ b/crates/lilacpitch/src/brain.rs
@@ -200,7 +200,7 @@
             // Nothing could be heard meanwhile: that time is no evidence against any server.
             for server in self.servers.values_mut() {
                 server.heard_ns = self.now.min(server.heard_ns + (self.now - at));
-                server.out.iter_mut().for_each(|out| out.sent_ns += self.now - at);
+                server.out.iter_mut().for_each(|out| out.shift(self.now - at));
             }
         }
         if self.subscribe_ns.is_some_and(|at| at <= self.now) {
@@ -387,23 +387,21 @@
         let offered = self.servers.get(&id).map_or(0.0, |s| self.per_s(&s.offered, 0.0));
         let Some(server) = self.servers.get_mut(&id) else { return };
         let (warm, few) = (server.cold_share(now, &self.settings).is_none(), server.sent.few(self.period));
-        let Some(at) = server.out.iter().position(|o| o.call == call) else { return };
-        let sent_ns = server.out.remove(at).sent_ns;
-        if !alive {
-            return;
-        }
-        let delay_ns = now.saturating_sub(sent_ns);
-        server.heard_ns = now;
-        server.delay_ns = delay_ns;
+        let out = server.take_out(call).filter(|_| alive);
+        let Some(Unanswered { sent_ns, waits_ns, .. }) = out else { return };
+        let delay_ns = now.saturating_sub(waits_ns).max(1);
+        (server.heard_ns, server.delay_ns) = (now, delay_ns);
         for out in server.out.iter_mut().filter(|o| o.sent_ns < sent_ns && !o.overtaken) {
             out.overtaken = true;
             // Late for being lost, not for waiting: the ceiling that its lateness set is taken back.
-            if now - out.sent_ns > late_ns && delay_ns < share(late_ns, QUICK_OF) {
+            if now.saturating_sub(out.waits_ns) > late_ns && delay_ns < share(late_ns, QUICK_OF) {
                 server.ceiling_per_s = server.ceiling_before;
             }
         }
         if stands {
             server.stood.add(self.period);
+            // What takes no longer than the shortest that ever stood there is on its way, and does not wait.
+            server.least_ns = server.least_ns.filter(|least| now - sent_ns >= *least).or(Some(now - sent_ns));
             if due > 0.0 {
                 server.normal = (due * NONE_YET.1, NONE_YET.1);
             }
@@ -514,7 +512,7 @@
             if server.out.is_empty() {
                 server.heard_ns = now;
             }
-            server.out.push(Unanswered { call: id, sent_ns: now, overtaken: false });
+            server.put_out(id, now);
             if let Some(suspect) = &mut server.suspect {
                 suspect.next_trial_ns = now + (suspect.rest_ns << suspect.trials.min(TRIAL_DOUBLINGS));
                 suspect.trials += 1;
--- a/crates/lilacpitch/src/brain/counts.rs
+++ b/crates/lilacpitch/src/brain/counts.rs
@@ -65,7 +65,8 @@
         let (waiting, stood_per_s) =
             server.told_stood_per_s.map_or(own, |all| (waiting + server.told_out, all));
         let backlog_s = waiting as f64 / stood_per_s.max(1.0 / self.window_s());
-        self.seen_wait_ns(server, server.told_wait_ns).max((backlog_s * 1e9) as Nanos)
+        let backlog_ns = ((backlog_s * 1e9) as Nanos).saturating_sub(server.least_ns.unwrap_or(0));
+        self.seen_wait_ns(server, server.told_wait_ns).max(backlog_ns)
     }
 
     /// What was seen to be waited there; many fresh delays that others tell know more than an old one.
--- a/crates/lilacpitch/src/brain/guards.rs
+++ b/crates/lilacpitch/src/brain/guards.rs
@@ -123,20 +123,20 @@
         let silent_ns = share(self.gap_ns, SILENT_GAPS);
         let ids: Vec<ServerId> = self.servers.keys().copied().collect();
         for id in ids {
-            self.call_off(id, |out| out.overtaken && now - out.sent_ns > late_ns, actions);
+            self.call_off(id, |out| out.overtaken && now.saturating_sub(out.waits_ns) > late_ns, actions);
             let server = &self.servers[&id];
             let Some(oldest) = server.oldest_ns() else { continue };
-            let silent = self.now - oldest.max(server.heard_ns) > silent_ns;
+            let silent = now.saturating_sub(oldest.max(server.heard_ns)) > silent_ns;
             // One set-up lost where others stood at once is no jam; the live call after it tells.
             let jam = !self.quick(server) || server.suspect.is_some_and(|s| s.trials > 0);
-            if self.now - oldest > late_ns {
+            if now.saturating_sub(oldest) > late_ns {
                 self.servers.entry(id).and_modify(|s| s.late_ns = self.now);
                 self.press(id, silent && jam);
             }
             if silent {
                 self.suspect(id, false);
                 self.servers.entry(id).and_modify(|s| s.suspect.iter_mut().for_each(|s| s.told = false));
-                self.call_off(id, |out| now - out.sent_ns > silent_ns, actions);
+                self.call_off(id, |out| now.saturating_sub(out.waits_ns) > silent_ns, actions);
             }
         }
     }
--- a/crates/lilacpitch/src/brain/state.rs
+++ b/crates/lilacpitch/src/brain/state.rs
@@ -8,6 +8,8 @@
 pub(super) struct Unanswered {
     pub(super) call: CallId,
     pub(super) sent_ns: Nanos,
+    /// From when on it waits: before, it was on its way.
+    pub(super) waits_ns: Nanos,
     /// A later set-up was answered first: this one does not wait in line, it is lost.
     pub(super) overtaken: bool,
 }
@@ -24,6 +26,14 @@
     pub(super) drawn: f64,
 }
 
+impl Unanswered {
+    /// Leaves a span out of its time.
+    pub(super) fn shift(&mut self, span_ns: Nanos) {
+        self.sent_ns += span_ns;
+        self.waits_ns += span_ns;
+    }
+}
+
 #[derive(Default)]
 pub(super) struct Server {
     pub(super) entry: Entry,
@@ -47,6 +57,8 @@
     pub(super) told_wait_until_ns: Nanos,
     pub(super) out: Vec<Unanswered>,
     pub(super) delay_ns: Nanos,
+    /// The shortest that a set-up took to stand there: what is on its way for no longer does not wait.
+    pub(super) least_ns: Option<Nanos>,
     /// The wait there as other fronts tell it.
     pub(super) told_wait_ns: Option<Nanos>,
     /// Set-ups of other fronts that are unanswered there, as they tell it.
@@ -91,6 +103,17 @@
 pub(super) type Likeness = (usize, u32, u64, [bool; 3], Option<(u32, u32, Nanos)>, Option<ServerId>);
 
 impl Server {
+    /// One more set-up is unanswered.
+    pub(super) fn put_out(&mut self, call: CallId, sent_ns: Nanos) {
+        let waits_ns = sent_ns + self.least_ns.unwrap_or(0);
+        self.out.push(Unanswered { call, sent_ns, waits_ns, overtaken: false });
+    }
+
+    /// A set-up is unanswered no longer.
+    pub(super) fn take_out(&mut self, call: CallId) -> Option<Unanswered> {
+        self.out.iter().position(|out| out.call == call).map(|at| self.out.remove(at))
+    }
+
     /// What stood here, over the time it took, both fading.
     pub(super) fn stood_per_s(&self) -> f64 {
         self.normal.0 / self.normal.1.max(1.0)
@@ -100,9 +123,9 @@
         self.entry.availability == Availability::Ready
     }
 
-    /// When the oldest set-up that waits in line there was sent.
+    /// Since when the oldest set-up waits in line there; still on its way, it is yet to come.
     pub(super) fn oldest_ns(&self) -> Option<Nanos> {
-        self.out.iter().find(|o| !o.overtaken).map(|o| o.sent_ns)
+        self.out.iter().find(|o| !o.overtaken).map(|o| o.waits_ns)
     }
 }
 
--- a/crates/lilacpitch/src/brain/told.rs
+++ b/crates/lilacpitch/src/brain/told.rs
@@ -7,9 +7,10 @@
     pub fn facts(&self) -> Vec<Fact> {
         let fact = |server: &Server| {
             // What goes on waiting is told anew twice a gap: others forget it else.
-            let waits = server.oldest_ns().filter(|oldest| self.now - oldest > share(self.gap_ns, LATE_GAPS));
+            let age_ns = server.oldest_ns().map(|oldest| self.now.saturating_sub(oldest));
+            let waits = age_ns.filter(|age| *age > share(self.gap_ns, LATE_GAPS));
             let last_ns = server.sent_ns.max(server.heard_ns).max(server.symptom_ns);
-            let aged = |oldest| (self.now - oldest) % (self.gap_ns / 2 + 1);
+            let aged = |age| age % (self.gap_ns / 2 + 1);
             Some(server.sent_ns).filter(|sent| *sent > 0).map(|_| Fact {
                 server: server.entry.server,
                 age_ns: waits.map_or(self.now.saturating_sub(last_ns), aged),
