--- a/crates/lilacpitch/src/brain/counts.rs
+++ b/crates/lilacpitch/src/brain/counts.rs
@@ -111,8 +111,8 @@
         }
     }
 
-    /// The pool pick among the servers that the rules and the tiers leave: the first choice, else the one of two
-    /// drawn with fewer set-ups unanswered; the two of the first choice's number, where several have it.
+    /// The pool pick among the servers that the rules and the tiers leave: the first choice, else the one of
+    /// two drawn with fewer set-ups unanswered; the two of the first choice's number, where several have it.
     pub(super) fn pick(&mut self, id: CallId) -> Option<ServerId> {
         let row = self.calls.get(&id)?;
         let mut open = Vec::new();
