--- a/crates/lilacpitch-node/src/core/links.rs
+++ b/crates/lilacpitch-node/src/core/links.rs
@@ -219,7 +219,7 @@
             if refused && !others {
                 // Nobody listens there, and no connection lives: the process is gone, and its calls with it.
                 let standing: Vec<_> = row.standing.iter().copied().collect();
-                standing.into_iter().for_each(|call| self.orphaned(call, effects));
+                standing.into_iter().for_each(|call| self.orphaned(call, "nobody listens", effects));
             }
         }
         for call in link.set_ups {
@@ -256,7 +256,7 @@
             let unreached = row.unreached_ns.is_some_and(|since| now - since > UNREACHED_NS);
             if unreached {
                 let standing: Vec<_> = row.standing.iter().copied().collect();
-                standing.into_iter().for_each(|call| self.orphaned(call, effects));
+                standing.into_iter().for_each(|call| self.orphaned(call, "not reached", effects));
             } else if !row.standing.is_empty() && now - row.heard_ns > QUIET_NS {
                 self.try_anew(id, effects);
             }
--- a/crates/lilacpitch-node/src/core/list.rs
+++ b/crates/lilacpitch-node/src/core/list.rs
@@ -88,7 +88,7 @@
                 .into_iter()
                 .filter(|call| self.calls.get(call).is_some_and(|call| call.stood_ns < up_since_ns || moved));
             let before: Vec<_> = before.collect();
-            before.into_iter().for_each(|call| self.orphaned(call, effects));
+            before.into_iter().for_each(|call| self.orphaned(call, "started anew", effects));
             self.withdraw_queued(id);
         }
         if moved {
@@ -132,7 +132,7 @@
         if !up || taken {
             // Gone by the list's word, and no connection says otherwise, or none that is surely its own.
             let standing: Vec<_> = row.standing.iter().copied().collect();
-            standing.into_iter().for_each(|call| self.orphaned(call, effects));
+            standing.into_iter().for_each(|call| self.orphaned(call, "listed as gone", effects));
         }
         let Some(row) = self.servers.get(&id) else { return };
         let out = |link: &super::LinkId| self.links.get(link).is_some_and(|l| !l.set_ups.is_empty());
--- a/crates/lilacpitch-node/src/core/standing.rs
+++ b/crates/lilacpitch-node/src/core/standing.rs
@@ -73,8 +73,9 @@
     }
 
     /// The server is not there any more, and what stood there with it.
-    pub(super) fn orphaned(&mut self, id: CallId, effects: &mut Vec<Effect>) {
+    pub(super) fn orphaned(&mut self, id: CallId, why: &str, effects: &mut Vec<Effect>) {
         self.counters.orphans += 1;
+        tracing::trace!(call = id, why, "orphan");
         self.released_by_server(id, CAUSE_CUT, Report::default(), effects);
     }
 
