--- a/crates/lilacpitch-edge/tests/node/callers.rs
+++ b/crates/lilacpitch-edge/tests/node/callers.rs
@@ -1,5 +1,6 @@
 //! Callers' mischief: a refusal that fits where the request can be named, else a close, and never a call.
 
+use crate::process::Node;
 use crate::standin::*;
 use std::time::Instant;
 
@@ -15,10 +16,11 @@
 fn figures_and_fields_that_are_none_are_refused_by_name_and_the_connection_goes_on() {
     let server = Server::start();
     let node = Node::start(&[&server]);
-    let mut caller = Caller::connect(&node);
+    let mut caller = node.caller();
     let bad = [
         (with("Call-ID", "Call-ID: xyz\r\n"), 400),
         (with("Call-ID", "Call-ID: 00000000000000FF\r\n"), 400),
+        (with("Call-ID", ""), 400),
         (with("P-Kind", "P-Kind: no-such-class\r\n"), 400),
         (with("P-Kind", ""), 400),
         (with("P-Time-Left", "P-Time-Left: -5\r\n"), 400),
@@ -60,7 +62,7 @@
         (" folded: 1\r\n", None),
     ];
     for (line, status) in cases {
-        let mut caller = Caller::connect(&node);
+        let mut caller = node.caller();
         let from = Instant::now();
         caller.send(&with("Content-Length", line));
         if status.is_some() {
@@ -87,7 +89,7 @@
     let callers: Vec<_> = [noise, endless, half, half_body, Vec::new()]
         .into_iter()
         .map(|bytes| {
-            let mut caller = Caller::connect(&node);
+            let mut caller = node.caller();
             caller.send(&bytes);
             caller
         })
@@ -101,7 +103,7 @@
 fn a_caller_that_has_asked_once_may_stay_silent() {
     let server = Server::start();
     let node = Node::start(&[&server]);
-    let mut caller = Caller::connect(&node);
+    let mut caller = node.caller();
     caller.invite(&id(1), 0, 3_000);
     server.answer(&server.next("launch"), "there");
     assert_eq!(caller.next().unwrap().body, "there");
@@ -115,7 +117,7 @@
 fn sixty_megabytes_are_refused_from_the_head_and_not_kept() {
     let server = Server::start();
     let node = Node::start(&[&server]);
-    let mut caller = Caller::connect(&node);
+    let mut caller = node.caller();
     caller.send(&with("Content-Length", "Content-Length: 60000000\r\n"));
     assert_eq!(caller.next().and_then(|said| said.status()), Some(413), "before the body has come");
     let part = vec![b'x'; 1 << 20];
@@ -129,7 +131,7 @@
 fn hundreds_at_once_and_withdrawn_at_once_leave_the_usual_callers_served() {
     let server = Server::start();
     let node = Node::start(&[&server]);
-    let (mut rude, mut usual) = (Caller::connect(&node), Caller::connect(&node));
+    let (mut rude, mut usual) = (node.caller(), node.caller());
     let mut flood = Vec::new();
     for call in 1000..1400 {
         flood.extend(invite(&id(call), "dest:0", 3_000, BODY));
@@ -165,7 +167,7 @@
     (0..400).for_each(|call| flood.extend(invite(&id(call), "dest:x", 3_000, BODY)));
     let cut = (0..400).any(|_| std::io::Write::write_all(&mut deaf, &flood).is_err());
     assert!(cut, "it is not read on for ever");
-    let mut usual = Caller::connect(&node);
+    let mut usual = node.caller();
     usual.invite(&id(1), 0, 3_000);
     server.answer(&server.next("launch"), "there");
     assert_eq!(usual.next().unwrap().body, "there");
--- a/crates/lilacpitch-edge/tests/node/coordinator.rs
+++ b/crates/lilacpitch-edge/tests/node/coordinator.rs
@@ -1,11 +1,12 @@
 //! Drains and replacements, told by a coordinator that may break off or fall silent.
 
+use crate::process::Node;
 use crate::standin::*;
 use std::time::{Duration, Instant};
 
 /// Calls at server 0 until none arrives there any more; when the last did, from the given moment.
 fn last_set_up(node: &Node, server: &Server, from: Instant, span: Duration) -> Option<Duration> {
-    let mut caller = Caller::connect(node);
+    let mut caller = node.caller();
     let mut last = None;
     let mut call = 100;
     while from.elapsed() < span {
@@ -62,7 +63,7 @@
         vec![target("s0", slow.0, 0, "in_service", 0), target("s1", other.address, 1, "in_service", 0)];
     let node = Node::spawn(Coordinator::start(vec![event(1, true, targets)]), 256);
     node.wait_ready();
-    let mut caller = Caller::connect(&node);
+    let mut caller = node.caller();
     caller.invite(&id(1), 0, 3_000);
     std::thread::sleep(ms(100));
     let told = Instant::now();
@@ -82,7 +83,7 @@
         assert!(Instant::now() < until, "the node does not start");
     }
     assert_eq!(node.test(), Some(503));
-    let mut caller = Caller::connect(&node);
+    let mut caller = node.caller();
     caller.invite(&id(1), 0, 3_000);
     assert_eq!(caller.next().unwrap().status(), Some(503));
 }
--- a/crates/lilacpitch-edge/tests/node/ids.rs
+++ b/crates/lilacpitch-edge/tests/node/ids.rs
@@ -1,5 +1,6 @@
 //! Attempts and answers belong together by server, connection and id.
 
+use crate::process::Node;
 use crate::standin::*;
 use serde_json::json;
 
@@ -7,7 +8,7 @@
 fn a_set_up_passes_unchanged_and_so_does_the_description_of_its_answer() {
     let server = Server::start();
     let node = Node::start(&[&server]);
-    let mut caller = Caller::connect(&node);
+    let mut caller = node.caller();
     caller.invite(&id(1), 0, 3_000);
     let launch = server.next("launch");
     let value = launch.value.clone().unwrap();
@@ -32,7 +33,7 @@
 fn what_cannot_be_set_up_is_refused_at_once_with_a_time_to_come_back() {
     let server = Server::start();
     let node = Node::start(&[&server]);
-    let mut caller = Caller::connect(&node);
+    let mut caller = node.caller();
     caller.invite(&id(1), 0, 3_000);
     let launch = server.next("launch");
     // Full for longer than the call may be held here.
@@ -49,7 +50,7 @@
 fn a_late_answer_to_an_attempt_that_was_given_up_is_released_and_not_shown() {
     let server = Server::start();
     let node = Node::start(&[&server]);
-    let mut caller = Caller::connect(&node);
+    let mut caller = node.caller();
     // A server that answers at once is not silent for one set-up that it loses: that one is tried there again.
     for call in 10..20 {
         caller.invite(&id(call), 0, 3_000);
@@ -78,7 +79,7 @@
 fn an_answer_after_the_caller_gave_up_is_released_at_its_server() {
     let server = Server::start();
     let node = Node::start(&[&server]);
-    let mut caller = Caller::connect(&node);
+    let mut caller = node.caller();
     caller.invite(&id(1), 0, 3_000);
     let launch = server.next("launch");
     caller.request("CANCEL", &id(1));
@@ -93,7 +94,7 @@
 fn second_copies_and_answers_ahead_change_nothing() {
     let server = Server::start();
     let node = Node::start(&[&server]);
-    let mut caller = Caller::connect(&node);
+    let mut caller = node.caller();
     caller.invite(&id(1), 0, 3_000);
     let launch = server.next("launch");
     server.say(launch.conn, json!({"kind": "running", "uid": id(77), "meta": {}, "body": "ahead"}));
@@ -111,7 +112,7 @@
 fn a_second_invite_under_an_open_id_does_not_touch_the_first() {
     let server = Server::start();
     let node = Node::start(&[&server]);
-    let (mut caller, mut other) = (Caller::connect(&node), Caller::connect(&node));
+    let (mut caller, mut other) = (node.caller(), node.caller());
     caller.invite(&id(1), 0, 3_000);
     let launch = server.next("launch");
     other.send(&invite(&id(1), "dest:0", 3_000, "another description"));
--- a/crates/lilacpitch-edge/tests/node/limits.rs
+++ b/crates/lilacpitch-edge/tests/node/limits.rs
@@ -1,17 +1,18 @@
 //! Descriptors near their limit.
 
+use crate::process::Node;
 use crate::standin::*;
 
 #[test]
 fn the_silent_by_the_hundred_leave_room_for_usual_callers() {
     let (server, other) = (Server::start(), Server::start());
     let node = Node::with(&[&server, &other], 128);
-    let mut usual = Caller::connect(&node);
+    let mut usual = node.caller();
     usual.invite(&id(1), 0, 4_000);
     let first = server.next("launch");
     // More than the limit, and they say nothing.
-    let silent: Vec<_> = (0..300).map(|_| Caller::connect(&node)).collect();
-    let mut late = Caller::connect(&node);
+    let silent: Vec<_> = (0..300).map(|_| node.caller()).collect();
+    let mut late = node.caller();
     late.invite(&id(2), 1, 4_000);
     other.answer(&other.next("launch"), "late");
     assert_eq!(late.next().unwrap().body, "late");
@@ -29,7 +30,7 @@
     // Kept open after their calls: more than the limit.
     let mut kept = Vec::new();
     for call in 1..=60 {
-        let mut caller = Caller::connect(&node);
+        let mut caller = node.caller();
         caller.invite(&id(call), 0, 3_000);
         let launch = server.next("launch");
         server.answer(&launch, "there");
@@ -45,7 +46,7 @@
     let node = Node::start(&[&server]);
     let before = node.descriptors();
     for call in 1..=200 {
-        let mut caller = Caller::connect(&node);
+        let mut caller = node.caller();
         caller.invite(&id(call), 0, 3_000);
         let launch = server.next("launch");
         server.answer(&launch, "there");
--- a/crates/lilacpitch-edge/tests/node/main.rs
+++ b/crates/lilacpitch-edge/tests/node/main.rs
@@ -5,6 +5,7 @@
 mod coordinator;
 mod ids;
 mod limits;
+mod process;
 mod servers;
 mod signals;
 mod standin;
--- /dev/null
+++ b/crates/lilacpitch-edge/tests/node/process.rs
@@ -0,0 +1,143 @@
+//! The node's process.
+
+use crate::standin::{config_text, id, ms, Caller, Coordinator, Server, SOON};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command};
+use std::time::{Duration, Instant};
+
+pub struct Node {
+    pub address: SocketAddr,
+    pub child: Child,
+    pub config: PathBuf,
+    folder: tempfile::TempDir,
+    pub coordinator: Coordinator,
+    sockets: u32,
+}
+
+impl Node {
+    /// A node that knows these servers, in service under numbers from 0, by the ids `s0`, `s1` ...
+    pub fn start(servers: &[&Server]) -> Node {
+        Node::with(servers, 256)
+    }
+
+    pub fn with(servers: &[&Server], sockets: u32) -> Node {
+        let node = Node::spawn(Coordinator::listing(servers), sockets);
+        node.wait_ready();
+        node
+    }
+
+    /// A node that writes a record of each attempt, which [`Node::last_belief`] reads.
+    pub fn traced(servers: &[&Server]) -> Node {
+        let node = Node::logging(Coordinator::listing(servers), 256, "lilacpitch_node=trace");
+        node.wait_ready();
+        node
+    }
+
+    /// The last record of a call.
+    pub fn last_belief(&self, call: &str) -> String {
+        let until = Instant::now() + SOON;
+        loop {
+            let text = std::fs::read_to_string(self.folder.path().join("log")).unwrap();
+            let record = text.lines().rev().find(|l| l.contains("believed") && l.contains(call));
+            if let Some(record) = record {
+                return record.to_string();
+            }
+            assert!(Instant::now() < until, "no record of {call}");
+            std::thread::sleep(ms(10));
+        }
+    }
+
+    /// What the process holds in memory, in MB.
+    pub fn memory_mb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find(|line| line.starts_with("VmRSS:")).unwrap();
+        line.split_whitespace().nth(1).unwrap().parse::<u64>().unwrap() / 1024
+    }
+
+    /// The descriptors that the process holds.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
+    }
+
+    pub fn spawn(coordinator: Coordinator, sockets: u32) -> Node {
+        Node::logging(coordinator, sockets, "warn")
+    }
+
+    fn logging(coordinator: Coordinator, sockets: u32, level: &str) -> Node {
+        let folder = tempfile::tempdir().unwrap();
+        let config = folder.path().join("config.json");
+        let address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        std::fs::write(&config, config_text(address, coordinator.address, &coordinator.known(), sockets))
+            .unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_lilacpitch-edge"))
+            .arg("node")
+            .env("BALANCER_CONFIG", &config)
+            .env("LILACPITCH_LOG", level)
+            .stderr(std::fs::File::create(folder.path().join("log")).unwrap())
+            .spawn()
+            .unwrap();
+        Node { address, child, config, folder, coordinator, sockets }
+    }
+
+    /// A caller's connection.
+    pub fn caller(&self) -> Caller {
+        Caller::connect(self.address)
+    }
+
+    /// Waits until a test is passed.
+    pub fn wait_ready(&self) {
+        let until = Instant::now() + SOON;
+        while self.test() != Some(200) {
+            assert!(Instant::now() < until, "the node does not become ready");
+            std::thread::sleep(ms(10));
+        }
+    }
+
+    /// What a test is answered with, if anything.
+    pub fn test(&self) -> Option<u16> {
+        TcpStream::connect(self.address).ok()?;
+        let mut caller = self.caller();
+        caller.request("OPTIONS", &id(0xfeed));
+        caller.within(ms(500)).and_then(|said| said.status())
+    }
+
+    pub fn signal(&self, signal: nix::sys::signal::Signal) {
+        nix::sys::signal::kill(nix::unistd::Pid::from_raw(self.child.id() as i32), signal).unwrap();
+    }
+
+    /// Replaces the configuration file: the coordinator is elsewhere.
+    pub fn move_to(&self, coordinator: &Coordinator) {
+        let text = config_text(self.address, coordinator.address, &coordinator.known(), self.sockets);
+        self.replace_config(&text);
+    }
+
+    pub fn replace_config(&self, text: &str) {
+        let new = self.folder.path().join("new.json");
+        std::fs::write(&new, text).unwrap();
+        std::fs::rename(new, &self.config).unwrap();
+    }
+
+    /// Waits for the process's end.
+    pub fn exit_code(&mut self, within: Duration) -> Option<i32> {
+        let until = Instant::now() + within;
+        while Instant::now() < until {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status.code();
+            }
+            std::thread::sleep(ms(10));
+        }
+        None
+    }
+
+    pub fn runs(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- a/crates/lilacpitch-edge/tests/node/servers.rs
+++ b/crates/lilacpitch-edge/tests/node/servers.rs
@@ -1,5 +1,6 @@
 //! Servers that spoil, break off, vanish, or pass their address on.
 
+use crate::process::Node;
 use crate::standin::*;
 use serde_json::json;
 use std::net::TcpListener;
@@ -26,7 +27,7 @@
     for (what, bytes) in spoilt() {
         let server = Server::start();
         let node = Node::start(&[&server]);
-        let mut caller = Caller::connect(&node);
+        let mut caller = node.caller();
         caller.invite(&id(7), 0, 3_000);
         let stands = server.next("launch");
         server.answer(&stands, "there");
@@ -49,7 +50,7 @@
 fn an_answer_that_stops_short_ends_with_its_connection() {
     let server = Server::start();
     let node = Node::start(&[&server]);
-    let mut caller = Caller::connect(&node);
+    let mut caller = node.caller();
     caller.invite(&id(1), 0, 3_000);
     let launch = server.next("launch");
     server.write(launch.conn, format!("{{\"kind\":\"running\",\"uid\":\"{}\",\"bo", id(1)).as_bytes());
@@ -63,7 +64,7 @@
 fn one_servers_trouble_does_not_delay_anothers_messages() {
     let (bad, good) = (Server::start(), Server::start());
     let node = Node::start(&[&bad, &good]);
-    let mut caller = Caller::connect(&node);
+    let mut caller = node.caller();
     caller.invite(&id(1), 0, 3_000);
     let stuck = bad.next("launch");
     // Half a line, and nothing more.
@@ -82,7 +83,7 @@
     let (gone, there) = (Server::start(), Server::start());
     gone.die();
     let node = Node::start(&[&gone, &there]);
-    let mut caller = Caller::connect(&node);
+    let mut caller = node.caller();
     caller.invite(&id(1), 0, 3_000);
     let launch = there.next("launch");
     there.answer(&launch, "there");
@@ -94,7 +95,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let server = Server::on(listener);
     let node = Node::start(&[&server]);
-    let mut caller = Caller::connect(&node);
+    let mut caller = node.caller();
     caller.invite(&id(1), 0, 3_000);
     let launch = server.next("launch");
     server.answer(&launch, "there");
@@ -124,7 +125,7 @@
 fn a_server_that_goes_silent_is_noticed_and_what_stands_there_released_within_8_s() {
     let (quiet, other) = (Server::start(), Server::start());
     let node = Node::start(&[&quiet, &other]);
-    let mut caller = Caller::connect(&node);
+    let mut caller = node.caller();
     caller.invite(&id(1), 0, 3_000);
     let launch = quiet.next("launch");
     quiet.answer(&launch, "there");
@@ -146,11 +147,28 @@
     assert!(from.elapsed() < ms(8_000), "{:?}", from.elapsed());
 }
 
+#[test]
+fn at_most_four_connections_are_made_to_a_server() {
+    let server = Server::start();
+    let node = Node::start(&[&server]);
+    let mut caller = node.caller();
+    for call in 1..=30 {
+        caller.invite(&id(call), 0, 3_000);
+        server.answer(&server.next("launch"), "there");
+        assert_eq!(caller.next().unwrap().body, "there");
+    }
+    // Several at once, and they stay out.
+    (31..=50).for_each(|call| caller.invite(&id(call), 0, 1_000));
+    let conns: std::collections::BTreeSet<_> =
+        server.all_within(ms(300)).iter().filter(|l| l.kind() == "launch").map(|l| l.conn).collect();
+    assert!(!conns.is_empty() && server.conns() <= 4, "{} connections, used {conns:?}", server.conns());
+}
+
 #[test]
 fn what_the_node_believes_is_what_passed_on_the_sockets() {
     let server = Server::start();
     let node = Node::traced(&[&server]);
-    let mut caller = Caller::connect(&node);
+    let mut caller = node.caller();
     let mut out = Vec::new();
     for call in 1..=12 {
         caller.invite(&id(call), 0, 3_000);
--- a/crates/lilacpitch-edge/tests/node/signals.rs
+++ b/crates/lilacpitch-edge/tests/node/signals.rs
@@ -1,5 +1,6 @@
 //! HUP under load, also with a broken file; TERM under load, with late arrivals; a configuration that is wrong.
 
+use crate::process::Node;
 use crate::standin::*;
 use nix::sys::signal::Signal;
 use serde_json::json;
@@ -10,7 +11,7 @@
 fn hup_moves_to_another_coordinator_and_keeps_every_call() {
     let (first, second) = (Server::start(), Server::start());
     let mut node = Node::start(&[&first, &second]);
-    let mut caller = Caller::connect(&node);
+    let mut caller = node.caller();
     caller.invite(&id(1), 0, 3_000);
     let stands = first.next("launch");
     first.answer(&stands, "there");
@@ -44,7 +45,7 @@
 fn term_serves_late_arrivals_answers_what_is_open_and_leaves_before_the_kill() {
     let (server, other) = (Server::start(), Server::start());
     let mut node = Node::start(&[&server, &other]);
-    let mut caller = Caller::connect(&node);
+    let mut caller = node.caller();
     caller.invite(&id(1), 0, 3_000);
     let stands = server.next("launch");
     server.answer(&stands, "there");
@@ -54,7 +55,7 @@
     let term = Instant::now();
     node.signal(Signal::SIGTERM);
     std::thread::sleep(ms(200));
-    let mut late = Caller::connect(&node);
+    let mut late = node.caller();
     late.request("OPTIONS", &id(50));
     assert_eq!(late.next().unwrap().status(), Some(503), "no test is passed any more");
     late.invite(&id(3), 1, 2_000);
@@ -73,7 +74,7 @@
 fn term_leaves_in_time_though_a_server_never_answers() {
     let server = Server::start();
     let mut node = Node::start(&[&server]);
-    let mut caller = Caller::connect(&node);
+    let mut caller = node.caller();
     caller.invite(&id(1), 0, 4_000);
     server.next("launch");
     node.signal(Signal::SIGTERM);
@@ -83,6 +84,25 @@
     assert_eq!(node.exit_code(ms(4_700)), Some(0));
 }
 
+#[test]
+fn after_a_standstill_what_was_due_is_judged_before_what_was_read() {
+    let server = Server::start();
+    let node = Node::start(&[&server]);
+    let mut caller = node.caller();
+    caller.invite(&id(1), 0, 500);
+    let launch = server.next("launch");
+    node.signal(Signal::SIGSTOP);
+    // The answer comes while the node stands still, and its caller's time runs out.
+    server.answer(&launch, "in time for nobody");
+    std::thread::sleep(ms(1_500));
+    node.signal(Signal::SIGCONT);
+    let heard = caller.all_within(ms(1_000));
+    let finals: Vec<_> = heard.iter().filter_map(|said| said.status()).collect();
+    assert!(finals.len() == 1 && finals[0] >= 300, "{heard:?}");
+    // What the server took for standing is released there: once by giving up, once for its answer.
+    assert!(server.next("stop").uid() == id(1) && server.next("stop").uid() == id(1));
+}
+
 #[test]
 fn a_configuration_that_is_wrong_is_one_clear_line_and_exit_code_2() {
     let run = |text: Option<&str>| {
--- a/crates/lilacpitch-edge/tests/node/standing.rs
+++ b/crates/lilacpitch-edge/tests/node/standing.rs
@@ -1,11 +1,12 @@
 //! Calls that stand outlive both connections; those that stand elsewhere are adopted.
 
+use crate::process::Node;
 use crate::standin::*;
 use serde_json::json;
 
 /// A call that stands: the node, its caller, and the server's connection.
 fn stands(server: &Server, node: &Node, call: u64) -> (Caller, usize) {
-    let mut caller = Caller::connect(node);
+    let mut caller = node.caller();
     caller.invite(&id(call), 0, 3_000);
     let launch = server.next("launch");
     server.answer(&launch, "there");
@@ -48,7 +49,7 @@
     std::thread::sleep(ms(200));
     server.stop(conn, &id(1), 16, json!({}));
     std::thread::sleep(ms(200));
-    let mut next = Caller::connect(&node);
+    let mut next = node.caller();
     next.invite(&id(2), 0, 3_000);
     let said = next.next().unwrap();
     assert!(said.is_bye() && said.call() == id(1), "{said:?}");
@@ -58,7 +59,7 @@
 fn a_call_that_stands_elsewhere_is_adopted_without_an_answer_also_twice() {
     let server = Server::start();
     let node = Node::start(&[&server]);
-    let mut caller = Caller::connect(&node);
+    let mut caller = node.caller();
     for _ in 0..2 {
         caller.send(&invite(&id(9), "dest:0;width:1;via:-1;at:s0", 3_000, BODY));
     }
