--- a/crates/lilacpitch/src/brain.rs
+++ b/crates/lilacpitch/src/brain.rs
@@ -39,10 +39,9 @@
 const CR: f64 = 0.0;
 /// Cost of an accepted call, in set-ups.
 const CA: f64 = 1.0;
-/// A set-up that waits for so many resend gaps is a time-out in the making: its repeats feed the jam.
+/// A set-up unanswered for so many resend gaps is a time-out in the making: from then on the network sends
+/// it again, and repeats are work that feeds the jam. Less left processors idle.
 const LATE_GAPS: f64 = 1.0;
-/// One overtaken by a later one is called off after so many: what is in line keeps its order, this is lost.
-const LOST_GAPS: f64 = 0.25;
 /// A server whose last set-up stood within this share of the resend gap was not about to jam.
 const QUICK_OF: f64 = 0.5;
 /// A call past its wanted time is held back from this share of that wait on, to leave room for fresh ones.
@@ -53,7 +52,8 @@
 const LEAST_CUT: f64 = 0.8;
 /// The same where the processor is full, or nothing answered for SILENT_GAPS: where few were sent, and else.
 const HARD_CUT: (f64, f64) = (0.35, 0.5);
-/// A cold server gets so many times its share of the normal rate: at first, and more as it warms.
+/// A cold server gets so many times its share of the normal rate: at first, when a few by chance are many for
+/// it, and more as it warms.
 const COLD_TAKES: (f64, f64) = (0.75, 0.75);
 /// A cold server may get what stood there of late times this share of the multiple that pushes it over.
 const GROWTH_OF_TIP: f64 = 0.7;
--- a/crates/lilacpitch/src/brain/guards.rs
+++ b/crates/lilacpitch/src/brain/guards.rs
@@ -119,11 +119,11 @@
     /// Late set-ups press a server before their time-out; one that answers nothing at all is suspected, and
     /// what waits there is called off while it can still stand elsewhere in time.
     pub(super) fn look_at_servers(&mut self, actions: &mut Vec<Action>) {
-        let (now, gaps) = (self.now, [LOST_GAPS, LATE_GAPS, SILENT_GAPS]);
-        let [lost_ns, late_ns, silent_ns] = gaps.map(|gaps| share(self.gap_ns, gaps));
+        let (now, late_ns) = (self.now, share(self.gap_ns, LATE_GAPS));
+        let silent_ns = share(self.gap_ns, SILENT_GAPS);
         let ids: Vec<ServerId> = self.servers.keys().copied().collect();
         for id in ids {
-            self.call_off(id, |out| out.overtaken && now.saturating_sub(out.waits_ns) > lost_ns, actions);
+            self.call_off(id, |out| out.overtaken && now.saturating_sub(out.waits_ns) > late_ns, actions);
             let server = &self.servers[&id];
             let Some(oldest) = server.oldest_ns() else { continue };
             let silent = now.saturating_sub(oldest.max(server.heard_ns)) > silent_ns;
