What can't be read is logged once by kind and counted; believed waits are tested

Need: unreadable events or answers are to be counted and logged once by kind; until now they showed at debug level only. Pump and codecs name the kind, the driver counts it in its line of counters. The test of beliefs compares waits as well, beside unanswered and standing counts. Tests: one line for two spoilt answers of each of five forms.

--- a/crates/lilacpitch-edge/tests/node/process.rs
+++ b/crates/lilacpitch-edge/tests/node/process.rs
@@ -38,7 +38,7 @@
     pub fn last_belief(&self, call: &str) -> String {
         let until = Instant::now() + SOON;
         loop {
-            let text = std::fs::read_to_string(self.folder.path().join("log")).unwrap();
+            let text = self.log();
             let record = text.lines().rev().find(|l| l.contains("believed") && l.contains(call));
             if let Some(record) = record {
                 return record.to_string();
@@ -48,6 +48,11 @@
         }
     }
 
+    /// What it has written to standard error.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.folder.path().join("log")).unwrap()
+    }
+
     /// What the process holds in memory, in MB.
     pub fn memory_mb(&self) -> u64 {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
--- a/crates/lilacpitch-edge/tests/node/servers.rs
+++ b/crates/lilacpitch-edge/tests/node/servers.rs
@@ -43,6 +43,10 @@
         server.answer(&again, "right");
         assert_eq!(caller.next().unwrap().body, "right", "{what}");
         assert_eq!(caller.within(ms(100)), None, "{what}: what stands goes on");
+        // Logged once by kind.
+        server.write(again.conn, &bytes);
+        std::thread::sleep(ms(100));
+        assert_eq!(node.log().matches("can't be read").count(), 1, "{what}: {}", node.log());
     }
 }
 
@@ -188,4 +192,14 @@
     assert!(believed.contains("open=3 standing=9"), "{believed}");
     let believed = node.last_belief("call=1 ");
     assert!(believed.contains("unanswered=3 stood=9 ") && believed.contains("standing=8"), "{believed}");
+    // A wait: what a set-up took beyond the shortest, which was next to nothing here.
+    out.iter().for_each(|launch| caller.request("CANCEL", &launch.uid()));
+    caller.invite(&id(50), 0, 3_000);
+    let slow = server.next("launch");
+    std::thread::sleep(ms(250));
+    server.answer(&slow, "there");
+    let (took, believed) = (slow.at.elapsed(), node.last_belief(&format!("stands call=13 wire={}", id(50))));
+    let wait = believed.split("wait_ms=").nth(1).and_then(|rest| rest.split(' ').next()).unwrap();
+    let wait = ms(wait.parse().unwrap());
+    assert!(wait >= ms(150) && wait <= took + ms(100), "{wait:?} of {took:?}: {believed}");
 }
--- a/crates/lilacpitch-node/src/net/driver.rs
+++ b/crates/lilacpitch-node/src/net/driver.rs
@@ -49,6 +49,8 @@
 /// What is told to the driver.
 pub(super) enum News {
     Input(Input),
+    /// What came on a connection could not be read: the kind of that, and what it was.
+    Spoilt(&'static str, String),
 }
 
 /// A connection's queue and its task.
@@ -66,6 +68,8 @@
     links: BTreeMap<LinkId, Peer>,
     next_caller: CallerId,
     effects: Vec<Effect>,
+    /// Connections ended for what came on them, by the kind of that.
+    spoilt: BTreeMap<&'static str, u64>,
     stopped: bool,
 }
 
@@ -97,6 +101,7 @@
         links,
         next_caller: 1,
         effects,
+        spoilt: BTreeMap::new(),
         stopped: false,
     };
     tokio::task::spawn_local(follow(config.known, coordinator, news));
@@ -145,7 +150,21 @@
 
 impl Driver {
     fn take(&mut self, news: News) {
-        let News::Input(input) = news;
+        let input = match news {
+            News::Input(input) => input,
+            News::Spoilt(kind, why) => {
+                let count = self.spoilt.entry(kind).or_default();
+                *count += 1;
+                if *count == 1 {
+                    tracing::warn!(
+                        kind,
+                        why,
+                        "can't be read, its connection is ended; further ones are counted"
+                    );
+                }
+                return;
+            }
+        };
         match &input {
             Input::CallerClosed(caller) => drop(self.callers.remove(caller)),
             Input::LinkDown { link, .. } => drop(self.links.remove(link)),
@@ -169,7 +188,7 @@
         let c = self.node.counters();
         tracing::info!(
             open, standing, callers, links, c.taken, c.stood, c.refused, c.failed, c.gone, c.adopted, c.strays,
-            c.links_lost, c.orphans, outcomes = ?c.outcomes, bad = ?c.bad_messages, "counters"
+            c.links_lost, c.orphans, outcomes = ?c.outcomes, bad = ?c.bad_messages, spoilt = ?self.spoilt, "counters"
         );
     }
 
@@ -227,6 +246,9 @@
             let ended =
                 pump::run(stream, Sip::default(), clock, Some(CALLER_PATIENCE), &mut queue, heard).await;
             tracing::debug!(caller, why = ended.why, "caller's connection ended");
+            if let Some(kind) = ended.spoilt {
+                let _ = news.send(News::Spoilt(kind, ended.why)).await;
+            }
             let _ = news.send(News::Input(Input::CallerClosed(caller))).await;
         });
         self.callers.insert(caller, Peer { out, task: task.abort_handle() });
@@ -253,6 +275,9 @@
                     let ended = pump::run(stream, Json::default(), clock, None, &mut queue, heard).await;
                     tracing::debug!(link, %address, why = ended.why, "connection to a server ended");
                     written = ended.written;
+                    if let Some(kind) = ended.spoilt {
+                        let _ = news.send(News::Spoilt(kind, format!("{address}: {}", ended.why))).await;
+                    }
                 }
                 Ok(Err(error)) => {
                     refused = error.kind() == io::ErrorKind::ConnectionRefused;
@@ -299,6 +324,15 @@
         self.0.within_message()
     }
 
+    fn kind(error: &SipError) -> &'static str {
+        match error {
+            SipError::Head(_) => "caller's head",
+            SipError::StartLine(_) => "caller's start line",
+            SipError::Length { .. } => "caller's length",
+            SipError::TooLong { .. } => "caller's message too long",
+        }
+    }
+
     fn last_words(error: &SipError) -> Option<Vec<u8>> {
         error.answer().map(|(status, reason, request)| request.response(status, reason))
     }
@@ -323,6 +357,13 @@
         false
     }
 
+    fn kind(error: &LineError) -> &'static str {
+        match error {
+            LineError::TooLong => "server's line too long",
+            LineError::Form(_) => "server's line",
+        }
+    }
+
     fn last_words(_: &LineError) -> Option<Vec<u8>> {
         None
     }
--- a/crates/lilacpitch-node/src/net/follow.rs
+++ b/crates/lilacpitch-node/src/net/follow.rs
@@ -53,6 +53,7 @@
                 connection = None;
                 tracing::debug!(%address, why, "coordinator");
                 if connected {
+                    let _ = news.send(News::Spoilt("coordinator's answer", why)).await;
                     // It broke off: what it would have told counts as told soon. Asked again at once, but never
                     // in a spin.
                     pause = PAUSE.0;
--- a/crates/lilacpitch-node/src/net/pump.rs
+++ b/crates/lilacpitch-node/src/net/pump.rs
@@ -25,6 +25,8 @@
     fn next_message(&mut self) -> Result<Option<Self::Message>, Self::Error>;
     /// Whether a message has begun and is not whole.
     fn within_message(&self) -> bool;
+    /// The kind of what is wrong, of few: logged once each.
+    fn kind(error: &Self::Error) -> &'static str;
     /// What is said last to who sent this.
     fn last_words(error: &Self::Error) -> Option<Vec<u8>>;
 }
@@ -46,10 +48,12 @@
     NotWritten(u64),
 }
 
-/// How a connection ended: so many of the messages given to it may have left, and why.
+/// How a connection ended: so many of the messages given to it may have left, why, and, where what came on it
+/// could not be read, the kind of that.
 pub(super) struct Ended {
     pub written: u64,
     pub why: String,
+    pub spoilt: Option<&'static str>,
 }
 
 /// Carries messages both ways until the connection ends or `out` does. `patience`: for the first message to be
@@ -66,6 +70,7 @@
     let (mut batch, mut bytes): (Vec<Outgoing>, Vec<u8>) = (Vec::new(), Vec::new());
     // Of `bytes`, what is written; messages that may have left; and those that have once a byte of `bytes` does.
     let (mut sent, mut written, mut encoded) = (0, 0, 0);
+    let mut spoilt = None;
     let mut due = patience.map(|patience| Instant::now() + patience);
     let why = loop {
         tokio::select! {
@@ -89,6 +94,7 @@
                         }
                     }
                     Err(error) => {
+                        spoilt = Some(C::kind(&error));
                         bytes.extend(C::last_words(&error).into_iter().flatten());
                         break error.to_string();
                     }
@@ -142,7 +148,7 @@
         });
         let _ = left.await;
     }
-    Ended { written, why }
+    Ended { written, why, spoilt }
 }
 
 /// Hands on all messages that are whole: how many; `None`, nobody listens.
