Accepting goes on once a full node's connections have their answers; the newest is kept

Seen by reading the driver beside the design's hard case: room was made after an accept alone, so where each connection at the limit had a set-up open, accepting paused until one of them closed. The new test failed first: the newest, still to ask, was the only idle one, and was closed. Now room is looked for in each round at the limit, and never made of the newest. Dead: Node::beliefs, which nothing called.

--- a/crates/lilacpitch-edge/tests/node/limits.rs
+++ b/crates/lilacpitch-edge/tests/node/limits.rs
@@ -40,6 +40,20 @@
     assert!(node.descriptors() <= 96, "{}", node.descriptors());
 }
 
+#[test]
+fn where_each_connection_has_a_set_up_open_accepting_pauses_until_one_has_not() {
+    let (silent, other) = (Server::start(), Server::start());
+    let node = Node::with(&[&silent, &other], 96);
+    // All that there is room for, each with a set-up that is held or out, and none closes by itself.
+    let mut full: Vec<_> = (0..52).map(|_| node.caller()).collect();
+    full.iter_mut().zip(1..).for_each(|(caller, call)| caller.invite(&id(call), 0, 4_000));
+    std::thread::sleep(ms(100));
+    let mut late = node.caller();
+    late.request("OPTIONS", &id(99));
+    assert_eq!(late.next().unwrap().status(), Some(200), "once those have their answers");
+    assert!(node.descriptors() <= 96, "{}", node.descriptors());
+}
+
 #[test]
 fn connections_that_come_and_go_leave_nothing_behind() {
     let server = Server::start();
--- a/crates/lilacpitch-node/src/core/callers.rs
+++ b/crates/lilacpitch-node/src/core/callers.rs
@@ -144,10 +144,11 @@
     }
 
     /// Closes a connection without an open set-up: one that never asked, unless it has only just come, else the
-    /// one that is idle for longest.
+    /// one that is idle for longest; never the newest, which is yet to ask.
     pub(super) fn make_room(&mut self, effects: &mut Vec<Effect>) {
         let now = self.now;
-        let idle = self.callers.iter().filter(|(_, caller)| caller.open.is_empty());
+        let newest = self.callers.last_key_value().map(|(id, _)| *id);
+        let idle = self.callers.iter().filter(|(id, c)| c.open.is_empty() && Some(**id) != newest);
         let mute = |caller: &Caller| !caller.proven && now - caller.last_ns > FIRST_WORD_NS;
         let first = idle.min_by_key(|(_, caller)| (!mute(caller), caller.last_ns)).map(|(id, _)| *id);
         if let Some(id) = first {
--- a/crates/lilacpitch-node/src/core/mod.rs
+++ b/crates/lilacpitch-node/src/core/mod.rs
@@ -216,12 +216,6 @@
         &self.counters
     }
 
-    /// What the module believes of servers, by their ids on the wire.
-    pub fn beliefs(&self) -> Vec<(String, lilacpitch::interface::Fact)> {
-        let facts = self.brain.facts().into_iter();
-        facts.filter_map(|fact| Some((self.servers.get(&fact.server)?.uid.clone(), fact))).collect()
-    }
-
     /// Set-ups that are open, and calls that stand.
     pub fn calls_now(&self) -> (usize, usize) {
         let standing = self.calls.values().filter(|call| call.stands()).count();
--- a/crates/lilacpitch-node/src/net/driver.rs
+++ b/crates/lilacpitch-node/src/net/driver.rs
@@ -109,6 +109,10 @@
     let mut round = Vec::new();
     let mut counters = tokio::time::interval(COUNTERS_EVERY);
     while !driver.stopped {
+        // One place is kept free; where each connection has a set-up open, accepting pauses until one has not.
+        if driver.callers.len() >= max_callers {
+            driver.feed(Input::MakeRoom);
+        }
         let due = driver.node.next_timeout().map(|at| driver.clock.instant(at));
         tokio::select! {
             count = inbox.recv_many(&mut round, ROUND) => {
@@ -116,12 +120,7 @@
                 round.drain(..).for_each(|news| driver.take(news));
             }
             accepted = listener.accept(), if driver.callers.len() < max_callers => match accepted {
-                Ok((stream, _)) => {
-                    driver.accept(stream);
-                    if driver.callers.len() >= max_callers {
-                        driver.feed(Input::MakeRoom);
-                    }
-                }
+                Ok((stream, _)) => driver.accept(stream),
                 Err(error) => {
                     tracing::warn!(%error, "not accepted");
                     driver.feed(Input::MakeRoom);
