--- a/crates/lilacpitch-node/src/config.rs
+++ b/crates/lilacpitch-node/src/config.rs
@@ -59,7 +59,7 @@
 }
 
 impl Config {
-    /// Reads the file; variables of the environment, where given, say the same as the file or prevail.
+    /// Reads the file, which says all that the variables of the environment say.
     pub fn load(path: &str) -> Result<Config, ConfigError> {
         let text = std::fs::read_to_string(path).map_err(|e| ConfigError::File(path.into(), e))?;
         Config::read(path, &text)
