Fixed addresses for programs on loopback come from below the range of connections

One piece now, lilacpitch_net::free_addresses, gives ports below net.ipv4.ip_local_port_range, never one twice in a process, after binding both kinds. The laboratory, the tests of edge and node and the stand-in example use it in place of four ways of their own. Its test holds a port and asks for forty.

--- a/crates/lilacpitch-edge/examples/standin.rs
+++ b/crates/lilacpitch-edge/examples/standin.rs
@@ -5,7 +5,7 @@
 mod standin;
 
 use standin::*;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::process::ExitCode;
 
 /// Calls that are made.
@@ -18,11 +18,11 @@
     };
     let server = Server::start();
     let coordinator = Coordinator::listing(&[&server]);
-    let free = TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr());
-    let Ok(listen) = free else {
+    let Ok(free) = lilacpitch_net::free_addresses(1) else {
         eprintln!("standin: no address is free on loopback");
         return ExitCode::FAILURE;
     };
+    let listen = free[0];
     if let Err(error) =
         std::fs::write(&file, config_text(listen, coordinator.address, &coordinator.known(), 256))
     {
--- a/crates/lilacpitch-edge/tests/common/mod.rs
+++ b/crates/lilacpitch-edge/tests/common/mod.rs
@@ -7,7 +7,7 @@
 use lilacpitch_protocol::{handshake, http};
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{channel, Receiver, RecvTimeoutError, Sender};
@@ -431,10 +431,9 @@
     out
 }
 
-/// UDP ports that were free a moment ago.
+/// Addresses for fronts' datagrams.
 pub fn ports(count: usize) -> Vec<SocketAddr> {
-    let sockets: Vec<UdpSocket> = (0..count).map(|_| UdpSocket::bind("127.0.0.1:0").unwrap()).collect();
-    sockets.iter().map(|s| s.local_addr().unwrap()).collect()
+    lilacpitch_net::free_addresses(count).unwrap()
 }
 
 /// Settings by which a front knows others; `more`: further fields, each with its comma.
--- a/crates/lilacpitch-edge/tests/node/process.rs
+++ b/crates/lilacpitch-edge/tests/node/process.rs
@@ -1,7 +1,7 @@
 //! The node's process.
 
 use crate::standin::{config_text, id, ms, Caller, Coordinator, Server, SOON};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command};
 use std::time::{Duration, Instant};
@@ -72,7 +72,7 @@
     fn logging(coordinator: Coordinator, sockets: u32, level: &str) -> Node {
         let folder = tempfile::tempdir().unwrap();
         let config = folder.path().join("config.json");
-        let address = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let address = lilacpitch_net::free_addresses(1).unwrap()[0];
         std::fs::write(&config, config_text(address, coordinator.address, &coordinator.known(), sockets))
             .unwrap();
         let child = Command::new(env!("CARGO_BIN_EXE_lilacpitch-edge"))
--- a/crates/lilacpitch-edge/tests/node/servers.rs
+++ b/crates/lilacpitch-edge/tests/node/servers.rs
@@ -96,8 +96,7 @@
 
 #[test]
 fn an_address_that_passes_to_another_server_ends_the_formers_calls_alone() {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let server = Server::on(listener);
+    let server = Server::start();
     let node = Node::start(&[&server]);
     let mut caller = node.caller();
     caller.invite(&id(1), 0, 3_000);
--- a/crates/lilacpitch-edge/tests/node/standin.rs
+++ b/crates/lilacpitch-edge/tests/node/standin.rs
@@ -56,7 +56,8 @@
 
 impl Server {
     pub fn start() -> Server {
-        Server::on(TcpListener::bind("127.0.0.1:0").unwrap())
+        // An address that another server can take over later.
+        Server::on(TcpListener::bind(lilacpitch_net::free_addresses(1).unwrap()[0]).unwrap())
     }
 
     pub fn on(listener: TcpListener) -> Server {
--- a/crates/lilacpitch-lab/src/play.rs
+++ b/crates/lilacpitch-lab/src/play.rs
@@ -13,6 +13,7 @@
 use crate::standin::{self, Play};
 use lilacpitch::interface::Nanos;
 use lilacpitch_edge::net::Clock;
+use lilacpitch_net::free_addresses;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use thiserror::Error;
@@ -193,17 +194,6 @@
     }
 }
 
-/// Addresses of loopback that were free a moment ago, for UDP and TCP.
-fn free_addresses(count: usize) -> std::io::Result<Vec<SocketAddr>> {
-    let sockets = (0..count).map(|_| {
-        let datagrams = std::net::UdpSocket::bind("127.0.0.1:0")?;
-        let stream = std::net::TcpListener::bind(datagrams.local_addr()?)?;
-        Ok((datagrams, stream))
-    });
-    let held: Vec<_> = sockets.collect::<std::io::Result<_>>()?;
-    held.iter().map(|(datagrams, _)| datagrams.local_addr()).collect()
-}
-
 fn play_day(
     day: &Day,
     script: &Script,
--- a/crates/lilacpitch-net/src/lib.rs
+++ b/crates/lilacpitch-net/src/lib.rs
@@ -2,10 +2,12 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod addresses;
 mod clock;
 mod standstill;
 mod timers;
 
+pub use addresses::free_addresses;
 pub use clock::Clock;
 pub use standstill::Standstill;
 pub use timers::Timers;
