A connection that brings no answers is left and replaced: no set-ups go by it any more

Records of attempts by connection: of node n0's four connections to that server two had 102 and 87 set-ups, of which none stood after 8.0 s; of the two others 402 stood and 3 were called off. Ruled out: the server (it answered other nodes, and this one elsewhere), order of answers, the node's own lateness.

At fault: link_for (links.rs) ranked by set-ups open alone, so that a cut-off connection, whose set-ups are called off soon, looked the freest.

Now a connection is mute once a set-up given to it was given up without an answer and nothing has been answered on it since: others come first, a new one is made where there is none, and it is closed once nothing is out on it. That a server is not reached ends its calls no sooner than before.

--- a/crates/lilacpitch-edge/tests/node/servers.rs
+++ b/crates/lilacpitch-edge/tests/node/servers.rs
@@ -202,3 +202,38 @@
     let wait = ms(wait.parse().unwrap());
     assert!(wait >= ms(150) && wait <= took + ms(100), "{wait:?} of {took:?}: {believed}");
 }
+
+/// Makes calls, two at a time; the server answers on every connection but this one. What it was sent.
+fn calls(server: &Server, caller: &mut Caller, from: u64, count: u64, deaf: Option<usize>) -> Vec<Line> {
+    let mut seen = Vec::new();
+    for call in from..from + count {
+        caller.invite(&id(call), 0, 3_000);
+        if call % 2 == 0 {
+            let lines = server.all_within(ms(30));
+            let heard = lines.iter().filter(|line| line.kind() == "launch" && deaf != Some(line.conn));
+            heard.for_each(|launch| server.answer(launch, "there"));
+            seen.extend(lines);
+        }
+    }
+    seen
+}
+
+#[test]
+fn a_connection_that_brings_no_answers_is_left_and_replaced() {
+    // Incident r72caf7: two of four connections were cut off without a sign, and 155 set-ups lost on them.
+    let server = Server::start();
+    let node = Node::start(&[&server]);
+    let mut caller = node.caller();
+    let deaf = calls(&server, &mut caller, 1, 40, None).last().map(|line| line.conn);
+    assert!(server.conns() > 1, "another is there");
+    let seen = calls(&server, &mut caller, 100, 120, deaf);
+    let by_it = |line: &&Line| line.kind() == "launch" && Some(line.conn) == deaf;
+    let launches: Vec<_> = seen.iter().filter(|line| line.kind() == "launch").collect();
+    let (early, late) = launches.split_at(launches.len() / 2);
+    let lost = early.iter().copied().filter(by_it).count();
+    assert!(lost > 0, "it was used");
+    let late = late.iter().copied().filter(by_it).count();
+    assert!(late == 0, "{lost} and, long after, {late} set-ups went by it");
+    let closed = |line: &Line| line.value.is_none() && Some(line.conn) == deaf;
+    assert!(seen.iter().any(closed), "closed once nothing is out on it");
+}
--- a/crates/lilacpitch-node/src/core/calls.rs
+++ b/crates/lilacpitch-node/src/core/calls.rs
@@ -37,6 +37,8 @@
     pub hop: u32,
     pub state: AttemptState,
     pub until_ns: Nanos,
+    /// When it was given to its connection.
+    pub sent_ns: Nanos,
 }
 
 /// What is kept of a set-up until it is answered.
@@ -127,7 +129,7 @@
             return;
         };
         let Some(call) = self.calls.get_mut(&id) else { return };
-        call.attempt = Some(Attempt { server, hop, state: AttemptState::Queued(link), until_ns });
+        call.attempt = Some(Attempt { server, hop, state: AttemptState::Queued(link), until_ns, sent_ns: 0 });
         call.used.push(link);
         self.links.entry(link).and_modify(|l| _ = l.set_ups.insert(id));
         self.timers.set(Timer::TimeOut(id), until_ns);
@@ -146,8 +148,9 @@
         // None leaves past the grace after a drain, though it was queued just before.
         let not_after = Some(self.now + self.site.drain_grace_ns / 2);
         let Some(message) = self.transmit(link, bytes, not_after, effects) else { return };
+        let now = self.now;
         if let Some(attempt) = self.calls.get_mut(&id).and_then(|call| call.attempt.as_mut()) {
-            attempt.state = AttemptState::Out(link, message);
+            (attempt.state, attempt.sent_ns) = (AttemptState::Out(link, message), now);
         }
     }
 
@@ -161,10 +164,13 @@
 
     /// An attempt that has no answer ends by this node's own doing: its server is told.
     pub(super) fn give_up_attempt(&mut self, id: CallId, outcome: Outcome, effects: &mut Vec<Effect>) {
-        if self.calls.get(&id).is_some_and(|call| !call.stands()) {
-            self.withdraw(id, effects);
-            self.end_attempt(id, outcome, Report::default());
+        let Some(call) = self.calls.get(&id).filter(|call| !call.stands()) else { return };
+        let out = call.attempt.map(|attempt| (attempt.state, attempt.sent_ns));
+        self.withdraw(id, effects);
+        if let Some((AttemptState::Out(link, _), sent_ns)) = out {
+            self.doubt(link, sent_ns, effects);
         }
+        self.end_attempt(id, outcome, Report::default());
     }
 
     /// Tells the server of an attempt that is out that it is given up.
--- a/crates/lilacpitch-node/src/core/counters.rs
+++ b/crates/lilacpitch-node/src/core/counters.rs
@@ -25,6 +25,8 @@
     pub strays: u64,
     /// Connections to servers that ended.
     pub links_lost: u64,
+    /// Connections to servers that brought no answer to a set-up, and none since.
+    pub links_mute: u64,
     /// Calls released because their server was not there any more.
     pub orphans: u64,
 }
--- a/crates/lilacpitch-node/src/core/links.rs
+++ b/crates/lilacpitch-node/src/core/links.rs
@@ -24,6 +24,10 @@
 pub(super) struct Link {
     pub server: ServerId,
     pub up: bool,
+    /// A set-up went unanswered, and no later one was answered here: it may be cut off without a sign.
+    mute: bool,
+    /// When it last brought an answer, or an end.
+    answered_ns: Nanos,
     next_message: u64,
     /// Calls whose set-up is queued or out here.
     pub set_ups: BTreeSet<CallId>,
@@ -50,7 +54,8 @@
 }
 
 impl Node {
-    /// A connection for one more set-up, not one of `used`: the one with the fewest set-ups, or a new one.
+    /// A connection for one more set-up, not one of `used`: the one with the fewest set-ups, or a new one. A mute
+    /// one only where no other may be made.
     pub(super) fn link_for(
         &mut self,
         server: ServerId,
@@ -59,12 +64,12 @@
     ) -> Option<LinkId> {
         let row = self.servers.get(&server)?;
         let free = row.links.iter().filter(|id| !used.contains(id));
-        let ranked = free.filter_map(|id| self.links.get(id).map(|l| (!l.up, l.set_ups.len(), *id)));
+        let ranked = free.filter_map(|id| self.links.get(id).map(|l| (l.mute, !l.up, l.set_ups.len(), *id)));
         let best = ranked.min();
-        let most = if self.links.len() < self.max_links { LINKS_PER_SERVER } else { 1 };
-        let more = row.links.len() < most;
+        let more = self.room_for_link(row);
         match best {
-            Some((down, set_ups, id)) => {
+            Some((true, ..)) if more => self.open_link(server, effects),
+            Some((_, down, set_ups, id)) => {
                 if more && !down && set_ups > 0 {
                     // The next one need not share.
                     self.open_link(server, effects);
@@ -78,6 +83,45 @@
         }
     }
 
+    fn room_for_link(&self, server: &Server) -> bool {
+        let most = if self.links.len() < self.max_links { LINKS_PER_SERVER } else { 1 };
+        server.links.len() < most
+    }
+
+    /// A set-up given to this connection then went unanswered. Where nothing has been answered there since, the
+    /// connection may be cut off: the next set-ups take others.
+    pub(super) fn doubt(&mut self, id: LinkId, sent_ns: Nanos, effects: &mut Vec<Effect>) {
+        let Some(link) = self.links.get_mut(&id) else { return };
+        if link.mute || link.answered_ns >= sent_ns {
+            return;
+        }
+        link.mute = true;
+        self.counters.links_mute += 1;
+        let server = link.server;
+        let Some(row) = self.servers.get(&server) else { return };
+        tracing::debug!(link = id, server = row.uid, "connection brings no answers");
+        if !self.answers_elsewhere(row) && self.room_for_link(row) {
+            self.open_link(server, effects);
+        }
+    }
+
+    /// Whether a connection is up there that is not mute.
+    fn answers_elsewhere(&self, server: &Server) -> bool {
+        server.links.iter().any(|id| self.links.get(id).is_some_and(|l| l.up && !l.mute))
+    }
+
+    /// Closes mute connections that no set-up is out on: where another is up, or to make room for one.
+    fn drop_mute(&mut self, id: ServerId, effects: &mut Vec<Effect>) {
+        let Some(row) = self.servers.get(&id) else { return };
+        if !self.answers_elsewhere(row) && row.links.len() < LINKS_PER_SERVER {
+            return;
+        }
+        let idle = |id: &&LinkId| self.links.get(id).is_some_and(|l| l.mute && l.set_ups.is_empty());
+        let idle: Vec<_> = row.links.iter().filter(idle).copied().collect();
+        idle.into_iter().for_each(|link| self.drop_link(link, effects));
+        self.keep_reachable(id, effects);
+    }
+
     fn open_link(&mut self, server: ServerId, effects: &mut Vec<Effect>) -> Option<LinkId> {
         let row = self.servers.get_mut(&server)?;
         let id = self.next_link;
@@ -86,6 +130,8 @@
         let link = Link {
             server,
             up: false,
+            mute: false,
+            answered_ns: 0,
             next_message: 0,
             set_ups: BTreeSet::new(),
             given_up: BTreeMap::new(),
@@ -127,8 +173,11 @@
     }
 
     pub(super) fn on_link_message(&mut self, id: LinkId, message: FromServer, effects: &mut Vec<Effect>) {
-        let Some(link) = self.links.get(&id) else { return };
+        let Some(link) = self.links.get_mut(&id) else { return };
         let server = link.server;
+        if matches!(message, FromServer::Running { .. } | FromServer::Stop { .. }) {
+            (link.mute, link.answered_ns) = (false, self.now);
+        }
         self.heard(server);
         match message {
             FromServer::Running { uid, body } => match self.out_here(uid, id) {
@@ -253,13 +302,16 @@
         let ids: Vec<ServerId> = self.servers.keys().copied().collect();
         for id in ids {
             let Some(row) = self.servers.get(&id) else { continue };
-            let unreached = row.unreached_ns.is_some_and(|since| now - since > UNREACHED_NS);
+            // A connection made anew because another was mute may fail sooner than a quiet server is tried.
+            let quiet = now - row.heard_ns > QUIET_NS + UNREACHED_NS;
+            let unreached = quiet && row.unreached_ns.is_some_and(|since| now - since > UNREACHED_NS);
             if unreached {
                 let standing: Vec<_> = row.standing.iter().copied().collect();
                 standing.into_iter().for_each(|call| self.orphaned(call, "not reached", effects));
             } else if !row.standing.is_empty() && now - row.heard_ns > QUIET_NS {
                 self.try_anew(id, effects);
             }
+            self.drop_mute(id, effects);
             self.forget_gone(id, effects);
         }
     }
--- a/crates/lilacpitch-node/src/core/standing.rs
+++ b/crates/lilacpitch-node/src/core/standing.rs
@@ -32,7 +32,7 @@
         self.next_call += 1;
         self.counters.adopted += 1;
         let state = AttemptState::Standing(0);
-        let attempt = Attempt { server, hop: 0, state, until_ns: 0 };
+        let attempt = Attempt { server, hop: 0, state, until_ns: 0, sent_ns: 0 };
         let call = Call {
             caller,
             wire,
--- a/crates/lilacpitch-node/src/net/driver.rs
+++ b/crates/lilacpitch-node/src/net/driver.rs
@@ -187,7 +187,7 @@
         let c = self.node.counters();
         tracing::info!(
             open, standing, callers, links, c.taken, c.stood, c.refused, c.failed, c.gone, c.adopted, c.strays,
-            c.links_lost, c.orphans, outcomes = ?c.outcomes, bad = ?c.bad_messages, spoilt = ?self.spoilt, "counters"
+            c.links_lost, c.links_mute, c.orphans, outcomes = ?c.outcomes, bad = ?c.bad_messages, spoilt = ?self.spoilt, "counters"
         );
     }
 
