--- a/crates/lilacpitch-edge/tests/node/callers.rs
+++ b/crates/lilacpitch-edge/tests/node/callers.rs
@@ -14,9 +14,7 @@
 
 #[test]
 fn figures_and_fields_that_are_none_are_refused_by_name_and_the_connection_goes_on() {
-    let server = Server::start();
-    let node = Node::start(&[&server]);
-    let mut caller = node.caller();
+    let (server, _node, mut caller) = Node::with_one_server();
     let bad = [
         (with("Call-ID", "Call-ID: xyz\r\n"), 400),
         (with("Call-ID", "Call-ID: 00000000000000FF\r\n"), 400),
@@ -101,9 +99,7 @@
 
 #[test]
 fn a_caller_that_has_asked_once_may_stay_silent() {
-    let server = Server::start();
-    let node = Node::start(&[&server]);
-    let mut caller = node.caller();
+    let (server, _node, mut caller) = Node::with_one_server();
     caller.invite(&id(1), 0, 3_000);
     server.answer(&server.next("launch"), "there");
     assert_eq!(caller.next().unwrap().body, "there");
@@ -115,9 +111,7 @@
 
 #[test]
 fn sixty_megabytes_are_refused_from_the_head_and_not_kept() {
-    let server = Server::start();
-    let node = Node::start(&[&server]);
-    let mut caller = node.caller();
+    let (_server, node, mut caller) = Node::with_one_server();
     caller.send(&with("Content-Length", "Content-Length: 60000000\r\n"));
     assert_eq!(caller.next().and_then(|said| said.status()), Some(413), "before the body has come");
     let part = vec![b'x'; 1 << 20];
--- a/crates/lilacpitch-edge/tests/node/ids.rs
+++ b/crates/lilacpitch-edge/tests/node/ids.rs
@@ -6,9 +6,7 @@
 
 #[test]
 fn a_set_up_passes_unchanged_and_so_does_the_description_of_its_answer() {
-    let server = Server::start();
-    let node = Node::start(&[&server]);
-    let mut caller = node.caller();
+    let (server, _node, mut caller) = Node::with_one_server();
     caller.invite(&id(1), 0, 3_000);
     let launch = server.next("launch");
     let value = launch.value.clone().unwrap();
@@ -31,9 +29,7 @@
 
 #[test]
 fn what_cannot_be_set_up_is_refused_at_once_with_a_time_to_come_back() {
-    let server = Server::start();
-    let node = Node::start(&[&server]);
-    let mut caller = node.caller();
+    let (server, _node, mut caller) = Node::with_one_server();
     caller.invite(&id(1), 0, 3_000);
     let launch = server.next("launch");
     // Full for longer than the call may be held here.
@@ -48,9 +44,7 @@
 
 #[test]
 fn a_late_answer_to_an_attempt_that_was_given_up_is_released_and_not_shown() {
-    let server = Server::start();
-    let node = Node::start(&[&server]);
-    let mut caller = node.caller();
+    let (server, _node, mut caller) = Node::with_one_server();
     // A server that answers at once is not silent for one set-up that it loses: that one is tried there again.
     for call in 10..20 {
         caller.invite(&id(call), 0, 3_000);
@@ -77,9 +71,7 @@
 
 #[test]
 fn an_answer_after_the_caller_gave_up_is_released_at_its_server() {
-    let server = Server::start();
-    let node = Node::start(&[&server]);
-    let mut caller = node.caller();
+    let (server, _node, mut caller) = Node::with_one_server();
     caller.invite(&id(1), 0, 3_000);
     let launch = server.next("launch");
     caller.request("CANCEL", &id(1));
@@ -92,9 +84,7 @@
 
 #[test]
 fn second_copies_and_answers_ahead_change_nothing() {
-    let server = Server::start();
-    let node = Node::start(&[&server]);
-    let mut caller = node.caller();
+    let (server, _node, mut caller) = Node::with_one_server();
     caller.invite(&id(1), 0, 3_000);
     let launch = server.next("launch");
     server.say(launch.conn, json!({"kind": "running", "uid": id(77), "meta": {}, "body": "ahead"}));
--- a/crates/lilacpitch-edge/tests/node/process.rs
+++ b/crates/lilacpitch-edge/tests/node/process.rs
@@ -27,6 +27,14 @@
         node
     }
 
+    /// A server, a node that knows it alone, and a caller.
+    pub fn with_one_server() -> (Server, Node, Caller) {
+        let server = Server::start();
+        let node = Node::start(&[&server]);
+        let caller = node.caller();
+        (server, node, caller)
+    }
+
     /// A node that writes a record of each attempt, which [`Node::last_belief`] reads.
     pub fn traced(servers: &[&Server]) -> Node {
         let node = Node::logging(Coordinator::listing(servers), 256, "lilacpitch_node=trace");
--- a/crates/lilacpitch-edge/tests/node/servers.rs
+++ b/crates/lilacpitch-edge/tests/node/servers.rs
@@ -52,9 +52,7 @@
 
 #[test]
 fn an_answer_that_stops_short_ends_with_its_connection() {
-    let server = Server::start();
-    let node = Node::start(&[&server]);
-    let mut caller = node.caller();
+    let (server, _node, mut caller) = Node::with_one_server();
     caller.invite(&id(1), 0, 3_000);
     let launch = server.next("launch");
     server.write(launch.conn, format!("{{\"kind\":\"running\",\"uid\":\"{}\",\"bo", id(1)).as_bytes());
@@ -88,21 +86,13 @@
     gone.die();
     let node = Node::start(&[&gone, &there]);
     let mut caller = node.caller();
-    caller.invite(&id(1), 0, 3_000);
-    let launch = there.next("launch");
-    there.answer(&launch, "there");
-    assert_eq!(caller.next().unwrap().body, "there");
+    there.stands(&mut caller, 1);
 }
 
 #[test]
 fn an_address_that_passes_to_another_server_ends_the_formers_calls_alone() {
-    let server = Server::start();
-    let node = Node::start(&[&server]);
-    let mut caller = node.caller();
-    caller.invite(&id(1), 0, 3_000);
-    let launch = server.next("launch");
-    server.answer(&launch, "there");
-    assert_eq!(caller.next().unwrap().body, "there");
+    let (server, node, mut caller) = Node::with_one_server();
+    server.stands(&mut caller, 1);
     server.die();
     let next = Server::on(TcpListener::bind(server.address).unwrap());
     node.coordinator.tell(vec![
@@ -129,10 +119,7 @@
     let (quiet, other) = (Server::start(), Server::start());
     let node = Node::start(&[&quiet, &other]);
     let mut caller = node.caller();
-    caller.invite(&id(1), 0, 3_000);
-    let launch = quiet.next("launch");
-    quiet.answer(&launch, "there");
-    assert_eq!(caller.next().unwrap().body, "there");
+    quiet.stands(&mut caller, 1);
     // Gone without a sign: connections stay open and silent, and a full backlog lets no new one come up.
     let dead = silent_server();
     node.coordinator.tell(vec![target("s0", dead.0, 0, "in_service", 0)]);
@@ -152,9 +139,7 @@
 
 #[test]
 fn at_most_four_connections_are_made_to_a_server() {
-    let server = Server::start();
-    let node = Node::start(&[&server]);
-    let mut caller = node.caller();
+    let (server, _node, mut caller) = Node::with_one_server();
     for call in 1..=30 {
         caller.invite(&id(call), 0, 3_000);
         server.answer(&server.next("launch"), "there");
@@ -221,9 +206,7 @@
 #[test]
 fn a_connection_that_brings_no_answers_is_left_and_replaced() {
     // Incident r72caf7: two of four connections were cut off without a sign, and 155 set-ups lost on them.
-    let server = Server::start();
-    let node = Node::start(&[&server]);
-    let mut caller = node.caller();
+    let (server, _node, mut caller) = Node::with_one_server();
     let deaf = calls(&server, &mut caller, 1, 40, None).last().map(|line| line.conn);
     assert!(server.conns() > 1, "another is there");
     let seen = calls(&server, &mut caller, 100, 120, deaf);
--- a/crates/lilacpitch-edge/tests/node/signals.rs
+++ b/crates/lilacpitch-edge/tests/node/signals.rs
@@ -86,9 +86,7 @@
 
 #[test]
 fn after_a_standstill_what_was_due_is_judged_before_what_was_read() {
-    let server = Server::start();
-    let node = Node::start(&[&server]);
-    let mut caller = node.caller();
+    let (server, node, mut caller) = Node::with_one_server();
     caller.invite(&id(1), 0, 500);
     let launch = server.next("launch");
     node.signal(Signal::SIGSTOP);
--- a/crates/lilacpitch-edge/tests/node/standin.rs
+++ b/crates/lilacpitch-edge/tests/node/standin.rs
@@ -124,6 +124,15 @@
         self.say(to.conn, json!({"kind": "running", "uid": to.uid(), "meta": {}, "body": body}));
     }
 
+    /// A call that this caller makes, and that stands here: its set-up.
+    pub fn stands(&self, caller: &mut Caller, call: u64) -> Line {
+        caller.invite(&id(call), 0, 3_000);
+        let launch = self.next("launch");
+        self.answer(&launch, "there");
+        assert_eq!(caller.next().unwrap().body, "there");
+        launch
+    }
+
     pub fn stop(&self, conn: usize, uid: &str, cause: u16, meta: Value) {
         self.say(conn, json!({"kind": "stop", "uid": uid, "meta": meta, "reason": cause}));
     }
--- a/crates/lilacpitch-edge/tests/node/standing.rs
+++ b/crates/lilacpitch-edge/tests/node/standing.rs
@@ -7,10 +7,7 @@
 /// A call that stands: the node, its caller, and the server's connection.
 fn stands(server: &Server, node: &Node, call: u64) -> (Caller, usize) {
     let mut caller = node.caller();
-    caller.invite(&id(call), 0, 3_000);
-    let launch = server.next("launch");
-    server.answer(&launch, "there");
-    assert_eq!(caller.next().unwrap().status(), Some(200));
+    let launch = server.stands(&mut caller, call);
     (caller, launch.conn)
 }
 
@@ -57,9 +54,7 @@
 
 #[test]
 fn a_call_that_stands_elsewhere_is_adopted_without_an_answer_also_twice() {
-    let server = Server::start();
-    let node = Node::start(&[&server]);
-    let mut caller = node.caller();
+    let (server, _node, mut caller) = Node::with_one_server();
     for _ in 0..2 {
         caller.send(&invite(&id(9), "dest:0;width:1;via:-1;at:s0", 3_000, BODY));
     }
--- a/crates/lilacpitch-node/src/core/callers.rs
+++ b/crates/lilacpitch-node/src/core/callers.rs
@@ -87,7 +87,7 @@
         if !self.listed || self.leaving {
             return Err((503, "Service Unavailable"));
         }
-        if self.open_calls() >= self.site.max_open {
+        if self.open >= self.site.max_open {
             return Err((503, "Too Many Calls"));
         }
         let asked = Asked {
--- a/crates/lilacpitch-node/src/core/calls.rs
+++ b/crates/lilacpitch-node/src/core/calls.rs
@@ -72,10 +72,6 @@
 }
 
 impl Node {
-    pub(super) fn open_calls(&self) -> usize {
-        self.callers.values().map(|caller| caller.open.len()).sum()
-    }
-
     pub(super) fn take_call(&mut self, caller: CallerId, asked: Asked) {
         let id = self.next_call;
         self.next_call += 1;
@@ -107,6 +103,7 @@
             stood_ns: 0,
         };
         self.calls.insert(id, row);
+        self.open += 1;
         self.by_wire.insert(asked.wire, id);
         self.follow.push_back(Event::Call(call));
     }
@@ -209,6 +206,7 @@
     /// A call leaves the tables.
     pub(super) fn take_row(&mut self, id: CallId) -> Option<Call> {
         let call = self.calls.remove(&id)?;
+        self.open -= usize::from(!call.stands());
         self.by_wire.remove(&call.wire);
         self.callers.entry(call.caller).and_modify(|caller| _ = caller.open.remove(&id));
         self.timers.clear(Timer::TimeOut(id));
@@ -235,6 +233,7 @@
         let Some(call) = self.calls.get_mut(&id) else { return };
         let (Some(attempt), Some(set_up)) = (&mut call.attempt, call.set_up.take()) else { return };
         attempt.state = AttemptState::Standing(link);
+        self.open -= 1;
         call.stood_ns = self.now;
         let (caller, hop, server) = (call.caller, attempt.hop, attempt.server);
         call.used = Vec::new();
--- a/crates/lilacpitch-node/src/core/mod.rs
+++ b/crates/lilacpitch-node/src/core/mod.rs
@@ -120,6 +120,8 @@
     now: Nanos,
     callers: BTreeMap<CallerId, Caller>,
     calls: BTreeMap<CallId, Call>,
+    /// How many of them have no answer yet.
+    open: usize,
     /// Calls that are open or stand, by the id that crosses the wire.
     by_wire: BTreeMap<u64, CallId>,
     servers: BTreeMap<ServerId, Server>,
@@ -153,6 +155,7 @@
             now,
             callers: BTreeMap::new(),
             calls: BTreeMap::new(),
+            open: 0,
             by_wire: BTreeMap::new(),
             servers: BTreeMap::new(),
             by_uid: BTreeMap::new(),
@@ -195,7 +198,7 @@
             Input::Timeout => {}
         }
         self.run_follow(effects);
-        if self.leaving && !self.stopped && self.calls.values().all(|call| call.stands()) {
+        if self.leaving && !self.stopped && self.open == 0 {
             self.stopped = true;
             effects.push(Effect::Stopped);
         }
@@ -218,8 +221,7 @@
 
     /// Set-ups that are open, and calls that stand.
     pub fn calls_now(&self) -> (usize, usize) {
-        let standing = self.calls.values().filter(|call| call.stands()).count();
-        (self.calls.len() - standing, standing)
+        (self.open, self.calls.len() - self.open)
     }
 
     /// Connections of callers, and to servers.
@@ -233,6 +235,7 @@
         let own = [
             ("callers", self.callers.len()),
             ("calls", self.calls.len()),
+            ("open calls", self.open),
             ("ids of calls", self.by_wire.len()),
             ("servers", self.servers.len()),
             ("ids of servers", self.by_uid.len()),
--- a/crates/lilacpitch-node/tests/soak.rs
+++ b/crates/lilacpitch-node/tests/soak.rs
@@ -17,6 +17,7 @@
     /// Set-ups that are out: connection and id.
     out: Vec<(LinkId, String)>,
     answered: usize,
+    stood: usize,
     released: usize,
 }
 
@@ -54,7 +55,7 @@
     fn new() -> Self {
         let node = Node::new(config().site, 32, 1_000_000 * MS, 7);
         let now = 1_000_000 * MS;
-        Soak { node, now, links: Vec::new(), out: Vec::new(), answered: 0, released: 0 }
+        Soak { node, now, links: Vec::new(), out: Vec::new(), answered: 0, stood: 0, released: 0 }
     }
 
     fn feed(&mut self, input: Input) {
@@ -77,6 +78,7 @@
                 }
                 Effect::ToCaller(_, bytes) => {
                     self.answered += usize::from(bytes.starts_with(b"SIP/2.0 "));
+                    self.stood += usize::from(bytes.starts_with(b"SIP/2.0 200 "));
                     self.released += usize::from(bytes.starts_with(b"BYE "));
                 }
                 _ => {}
@@ -160,3 +162,17 @@
         assert!(*last <= 64, "{name} holds {last}");
     }
 }
+
+#[test]
+fn an_answer_read_after_a_standstill_does_not_undo_what_was_due_before() {
+    let mut soak = Soak::new();
+    soak.list(1, true, &[(0, "in_service"), (1, "in_service"), (2, "in_service")]);
+    soak.feed(Input::CallerOpened(1));
+    soak.feed(Input::CallerMessage(1, request("INVITE", 3)));
+    let (link, uid) = soak.out.pop().expect("sent at once");
+    // Nothing is read and no timer fires for longer than the caller waits; then the answer is read first.
+    soak.now += 5_000 * MS;
+    soak.say(link, json!({"kind": "running", "uid": uid, "meta": {}, "body": "late"}));
+    soak.pass(1_000);
+    assert_eq!((soak.answered, soak.stood), (1, 0), "one final answer, and not that it stands");
+}
