A call that sound servers answer by faults is given up: bad callers' set-ups cost two tries, not six

Now a call keeps the chance that one that is fine would have met its faults: the product of each server's share of faults among first attempts. Below 0.02, and after two attempts, it gets its answer at once.

--- a/crates/lilacpitch/src/brain.rs
+++ b/crates/lilacpitch/src/brain.rs
@@ -69,6 +69,8 @@
 /// A symptom tells by its share among the last so many set-ups there; below the bound it is chance.
 const SHARE_OVER: f64 = 16.0;
 const STRAY: f64 = 0.25;
+/// A call at fault itself: of those that are not, a smaller share would have met faults wherever it was sent.
+const NOT_ITS_OWN: f64 = 0.02;
 /// Below this share of the normal rate, a ceiling grows with each set-up that stands at once: by this share
 /// of itself, and by so many set-ups a second at most.
 const GROWS: (f64, f64, f64) = (0.9, 0.2, 1.0);
@@ -263,18 +265,8 @@
         // A number that was given up on lately comes again.
         let first_ns = call.dialled.and_then(|number| self.unserved.remove(&number));
         let patience_ns = self.settings.classes[call.class].deadline_ns;
-        let row = Row {
-            call,
-            state: State::Held,
-            taken_ns: self.now,
-            first_ns: first_ns.filter(|first| self.now - first < patience_ns).unwrap_or(self.now),
-            deadline_ns: self.now + self.safe_budget_ns(call.budget_ns),
-            not_before_ns: self.now,
-            attempts: 0,
-            server: 0,
-            calling_off: false,
-            may_have_run: None,
-        };
+        let mut row = Row::new(call, self.now, self.now + self.safe_budget_ns(call.budget_ns));
+        row.first_ns = first_ns.filter(|first| self.now - first < patience_ns).unwrap_or(self.now);
         self.calls.insert(call.id, row);
         let meant = |s: &&mut Server| s.entry.number == call.first_choice && s.in_service();
         if let Some(server) = self.servers.values_mut().filter(meant).min_by_key(|s| s.offered.len()) {
@@ -347,6 +339,9 @@
             row.may_have_run = entry.map(|e| (e.zone, e.number, row.taken_ns));
         }
         row.calling_off = false;
+        if let Some(server) = self.servers.get_mut(&row.server).filter(|_| outcome == Outcome::Fault) {
+            row.chance *= server.faulted(attempt == 0, SHARE_OVER);
+        }
         if outcome.needs_release() {
             row.state = State::Releasing;
             row.not_before_ns = self.now + self.settings.release_ns;
@@ -400,6 +395,7 @@
         if stands {
             server.stood.add(self.period);
             server.waits.note(delay_ns, 1.0 / SHARE_OVER);
+            server.sound += (1.0 - server.sound) / SHARE_OVER;
             // What takes no longer than the shortest that ever stood there is on its way, and does not wait.
             server.least_ns = server.least_ns.filter(|least| now - sent_ns >= *least).or(Some(now - sent_ns));
             if due > 0.0 {
@@ -438,7 +434,8 @@
         if row.state == State::Releasing && self.now >= row.not_before_ns {
             row.state = State::Held;
         }
-        if self.number_rests(id) {
+        let own_fault = |row: &Row| row.attempts > 1 && row.chance < NOT_ITS_OWN;
+        if self.number_rests(id) || self.calls.get(&id).is_some_and(own_fault) {
             self.give_up(id, actions);
         } else if let Some(server) = self.pick(id) {
             self.send(id, server, actions);
--- a/crates/lilacpitch/src/brain/state.rs
+++ b/crates/lilacpitch/src/brain/state.rs
@@ -58,6 +58,8 @@
     pub(super) told_wait_until_ns: Nanos,
     pub(super) out: Vec<Unanswered>,
     pub(super) delay_ns: Nanos,
+    /// The share of what stood, beside first attempts that ended by a fault; 0 at first.
+    pub(super) sound: f64,
     /// What set-ups that stood had waited.
     pub(super) waits: Spread,
     /// The shortest that a set-up took to stand there: what is on its way for no longer does not wait.
@@ -97,10 +99,31 @@
     pub(super) attempts: u32,
     pub(super) server: ServerId,
     pub(super) calling_off: bool,
+    /// How likely a call that is fine would have met the faults that it met.
+    pub(super) chance: f64,
     /// The first attempt that may have run: its server's zone and number, and when it was sent.
     pub(super) may_have_run: Option<(u32, u32, Nanos)>,
 }
 
+impl Row {
+    /// A call that was just taken.
+    pub(super) fn new(call: Call, taken_ns: Nanos, deadline_ns: Nanos) -> Self {
+        Row {
+            call,
+            state: State::Held,
+            taken_ns,
+            first_ns: taken_ns,
+            deadline_ns,
+            not_before_ns: taken_ns,
+            attempts: 0,
+            server: 0,
+            calling_off: false,
+            chance: 1.0,
+            may_have_run: None,
+        }
+    }
+}
+
 /// What the pick goes by in a call: class, first choice, width, flags, the attempt that may have run, and where
 /// the last one failed.
 pub(super) type Likeness = (usize, u32, u64, [bool; 3], Option<(u32, u32, Nanos)>, Option<ServerId>);
@@ -117,6 +140,13 @@
         self.out.iter().position(|out| out.call == call).map(|at| self.out.remove(at))
     }
 
+    /// A set-up ended by a fault: how many of them did so lately. A call counts once, one in `over`.
+    pub(super) fn faulted(&mut self, first: bool, over: f64) -> f64 {
+        let share = 1.0 - self.sound;
+        self.sound -= if first { self.sound / over } else { 0.0 };
+        share
+    }
+
     /// What stood here, over the time it took, both fading.
     pub(super) fn stood_per_s(&self) -> f64 {
         self.normal.0 / self.normal.1.max(1.0)
--- /dev/null
+++ b/crates/lilacpitch/tests/faults.rs
@@ -0,0 +1,52 @@
+//! Calls that servers answer by a fault: whether the call is at fault, or the server.
+
+mod common;
+
+use common::*;
+use lilacpitch::interface::*;
+use lilacpitch::Action;
+
+/// Two servers, and calls of which so many of ten stand at the first try; the others meet a fault there.
+fn front(stand_of_ten: usize) -> Front {
+    let mut front = Front::new(settings(), &[entry(11, 1), entry(12, 2)]);
+    for call in 0..200 {
+        let (id, actions) = front.call_with(|c| c.first_choice = 1 + call % 2);
+        let server = sent_to(&actions, id).expect("sent at once");
+        front.pass(40 * MS);
+        if call as usize % 20 / 2 < stand_of_ten {
+            front.stands(id, 0);
+        } else {
+            front.settled(id, 0, server, Outcome::Fault);
+            front.event(lilacpitch::Event::CallerGone(id));
+        }
+        front.pass(60 * MS);
+    }
+    front
+}
+
+/// A call that meets a fault wherever it is sent: how often it is sent, and whether it has its answer at the end.
+fn always_faulted(front: &mut Front) -> (u32, bool) {
+    let (id, mut actions) = front.call(1);
+    for attempt in 0..settings().max_attempts {
+        let Some(server) = sent_to(&actions, id) else { break };
+        front.pass(40 * MS);
+        actions = front.settled(id, attempt, server, Outcome::Fault);
+        actions.extend(front.pass(MS));
+    }
+    (front.attempts(id), answered(&actions, id))
+}
+
+#[test]
+fn a_call_that_no_sound_server_can_use_is_given_up_at_once() {
+    // A day with bad callers: each such call was sent six times, and the work of that jammed a server.
+    assert_eq!(always_faulted(&mut front(10)), (2, true), "two servers at which all else stands");
+    let (sent, answered) = always_faulted(&mut front(9));
+    assert!(sent <= 3 && answered, "{sent} of 5 where one call in ten is such a call");
+}
+
+#[test]
+fn where_servers_fault_much_else_a_call_has_all_its_attempts() {
+    assert_eq!(always_faulted(&mut front(2)), (settings().max_attempts, true));
+    let mut new = Front::new(settings(), &[entry(11, 1), entry(12, 2)]);
+    assert_eq!(always_faulted(&mut new), (settings().max_attempts, true), "nothing is known of them yet");
+}
