--- a/crates/lilacpitch/tests/faults.rs
+++ b/crates/lilacpitch/tests/faults.rs
@@ -4,7 +4,6 @@
 
 use common::*;
 use lilacpitch::interface::*;
-use lilacpitch::Action;
 
 /// Two servers, and calls of which so many of ten stand at the first try; the others meet a fault there.
 fn front(stand_of_ten: usize) -> Front {
