Many fronts: the whole line is seen, what has its turn coming stays out, few set-ups have no way

Looked at with records and a probe of what each front believed as it sent: where 2.8 set-ups of others were out, 2.7 were told and 1.5 counted; where 5.7, 5.0 and 3.2. Half of those sent behind five or six were called off 0.9 to 1.4 s later, though the server still worked on them and others stood. Waits of 0.6 s and more were taken for 0.25: the shortest of a front's few set-ups had waited itself. Ruled out: news that comes late (ages under 0.3 s), room in datagrams (30 voices of 39 kept), the number of set-ups sent. Tests for each, seen to fail without it.

--- a/crates/lilacpitch/src/brain.rs
+++ b/crates/lilacpitch/src/brain.rs
@@ -509,7 +509,7 @@
             if server.out.is_empty() {
                 server.heard_ns = now;
             }
-            server.put_out(id, now);
+            server.put_out(id, now, server.way_ns(self.period));
             if let Some(suspect) = &mut server.suspect {
                 suspect.next_trial_ns = now + (suspect.rest_ns << suspect.trials.min(TRIAL_DOUBLINGS));
                 suspect.trials += 1;
@@ -609,6 +609,11 @@
         let warmth = now.saturating_sub(self.cold_since_ns?) as f64 / settings.cold_ns.max(1) as f64;
         (warmth < 1.0).then_some(settings.cold_from + (1.0 - settings.cold_from) * warmth)
     }
+
+    /// How long a set-up is surely on its way there; where few stood of late, the shortest has waited too.
+    fn way_ns(&self, period: u64) -> Nanos {
+        self.least_ns.filter(|_| !self.stood.few(period)).unwrap_or(0)
+    }
 }
 
 fn share(span: Nanos, of: f64) -> Nanos {
--- a/crates/lilacpitch/src/brain/counts.rs
+++ b/crates/lilacpitch/src/brain/counts.rs
@@ -65,7 +65,7 @@
         let (waiting, stood_per_s) =
             server.told_stood_per_s.map_or(own, |all| (waiting + server.told_out, all));
         let backlog_s = waiting as f64 / stood_per_s.max(1.0 / self.window_s());
-        let backlog_ns = ((backlog_s * 1e9) as Nanos).saturating_sub(server.least_ns.unwrap_or(0));
+        let backlog_ns = ((backlog_s * 1e9) as Nanos).saturating_sub(server.way_ns(self.period));
         self.seen_wait_ns(server, server.told_wait_ns).max(backlog_ns)
     }
 
@@ -164,8 +164,7 @@
 
     /// A ceiling lapses in steps once no symptom has been seen for a while: all at once, it would swing.
     pub(super) fn lapse(&mut self, periods: u64) {
-        let ids: Vec<ServerId> = self.servers.keys().copied().collect();
-        for id in ids {
+        for id in self.servers.keys().copied().collect::<Vec<_>>() {
             let server = &self.servers[&id];
             let clean_ns = self.now.saturating_sub(server.symptom_ns);
             let lapsing = server.ceiling_per_s.filter(|_| clean_ns >= CLEAN_PERIODS * PERIOD_NS);
--- a/crates/lilacpitch/src/brain/guards.rs
+++ b/crates/lilacpitch/src/brain/guards.rs
@@ -120,13 +120,13 @@
     pub(super) fn look_at_servers(&mut self, actions: &mut Vec<Action>) {
         let (now, gap_ns) = (self.now, self.gap_ns);
         let [late_ns, silent_ns, soon_ns] = [LATE_GAPS, SILENT_GAPS, LOST_PAST.1].map(|of| share(gap_ns, of));
-        let ids: Vec<ServerId> = self.servers.keys().copied().collect();
-        for id in ids {
+        for id in self.servers.keys().copied().collect::<Vec<_>>() {
             let lost_ns = self.servers[&id].waits.beyond_ns(LOST_PAST.0).max(soon_ns).min(late_ns);
             self.call_off(id, |out| out.overtaken && now.saturating_sub(out.waits_ns) > lost_ns, actions);
             let server = &self.servers[&id];
             let Some(oldest) = server.oldest_ns() else { continue };
-            let silent = now.saturating_sub(oldest.max(server.heard_ns)) > silent_ns;
+            let heard_ns = server.heard_ns.max(self.told.stood_ns(id)).max(oldest);
+            let silent = now.saturating_sub(heard_ns) > silent_ns;
             // One set-up lost where others stood at once is no jam; the live call after it tells.
             let jam = !self.quick(server) || server.suspect.is_some_and(|s| s.trials > 0);
             if now.saturating_sub(oldest) > late_ns {
--- a/crates/lilacpitch/src/brain/state.rs
+++ b/crates/lilacpitch/src/brain/state.rs
@@ -129,9 +129,9 @@
 pub(super) type Likeness = (usize, u32, u64, [bool; 3], Option<(u32, u32, Nanos)>, Option<ServerId>);
 
 impl Server {
-    /// One more set-up is unanswered.
-    pub(super) fn put_out(&mut self, call: CallId, sent_ns: Nanos) {
-        let waits_ns = sent_ns + self.least_ns.unwrap_or(0);
+    /// One more set-up is unanswered, and on its way for so long.
+    pub(super) fn put_out(&mut self, call: CallId, sent_ns: Nanos, way_ns: Nanos) {
+        let waits_ns = sent_ns + way_ns;
         self.out.push(Unanswered { call, sent_ns, waits_ns, overtaken: false });
     }
 
--- a/crates/lilacpitch/src/brain/told.rs
+++ b/crates/lilacpitch/src/brain/told.rs
@@ -62,12 +62,12 @@
         median.map(|(value, _)| value).filter(|_| weight > 2.0 * NOTHING_WRONG)
     }
 
-    /// What others tell of a server now: what a call waits there, where own set-ups are few, how many are out
-    /// and stood there, but for those of the front that tells of most: a wrong one alone moves nothing.
+    /// What others tell of a server now: the wait there, where own set-ups are few; how many are in line
+    /// (those of who takes it to be silent are lost) and stood. Who tells of most counts as the next does.
     pub(super) fn hear(&mut self, id: ServerId) {
         let since = |kept_ns| self.now.saturating_sub(kept_ns);
-        let out = self.told.sum_but_most(id, since(WAIT_KEPT_NS), FEW, |fact| fact.out);
-        let stood = self.told.sum_but_most(id, since(WINDOW_NS), FEW, |fact| fact.stood);
+        let out = self.told.sum_bounded(id, since(WAIT_KEPT_NS), FEW, |f| f.out * u32::from(!f.suspect));
+        let stood = self.told.sum_bounded(id, since(WINDOW_NS), FEW, |fact| fact.stood);
         // Where more tell than are kept, what is kept tells of less than the window.
         let seen_ns = self.told.whole_since(id).map_or(WINDOW_NS, |oldest| self.now - oldest.min(self.now));
         let span_s = (seen_ns.max(PERIOD_NS) as f64 / 1e9).min(self.window_s());
--- a/crates/lilacpitch/src/voices.rs
+++ b/crates/lilacpitch/src/voices.rs
@@ -5,36 +5,63 @@
 
 /// Facts by server and teller, each with the moment that its evidence is of; of each server the newest `MOST`.
 #[derive(Debug, Default)]
-pub struct Voices<const MOST: usize>(BTreeMap<(ServerId, u64), (Nanos, Fact)>);
+pub struct Voices<const MOST: usize> {
+    facts: BTreeMap<(ServerId, u64), (Nanos, Fact)>,
+    /// By server the last two fronts at which something more stood, the latest first, and when.
+    stood: BTreeMap<ServerId, [(u64, Nanos); 2]>,
+}
 
 impl<const MOST: usize> Voices<MOST> {
     /// Takes what a front tells in place of what it told of that server before.
     pub fn add(&mut self, peer: u64, as_of: Nanos, fact: Fact) {
         let id = fact.server;
-        self.0.insert((id, peer), (as_of, fact));
-        let known = self.0.range((id, 0)..=(id, u64::MAX));
+        let count = fact.stood;
+        let before = self.facts.insert((id, peer), (as_of, fact));
+        if before.is_some_and(|(_, before)| before.stood < count) {
+            self.note_stood(id, peer, as_of);
+        }
+        let known = self.facts.range((id, 0)..=(id, u64::MAX));
         if known.clone().count() > MOST {
             let oldest = known.min_by_key(|(_, (as_of, _))| *as_of).map(|(key, _)| *key);
-            oldest.map(|key| self.0.remove(&key));
+            oldest.map(|key| self.facts.remove(&key));
+        }
+    }
+
+    fn note_stood(&mut self, id: ServerId, peer: u64, at: Nanos) {
+        let last = self.stood.entry(id).or_default();
+        match last.iter().position(|(teller, _)| *teller == peer) {
+            Some(known) => last[known].1 = last[known].1.max(at),
+            None if at > last[1].1 => last[1] = (peer, at),
+            None => {}
         }
+        last.sort_by_key(|(_, at)| std::cmp::Reverse(*at));
+    }
+
+    /// When something last stood at a server by the word of two fronts: the earlier of their moments.
+    pub fn stood_ns(&self, id: ServerId) -> Nanos {
+        self.stood.get(&id).map_or(0, |last| last[1].1)
     }
 
     /// Forgets what is not newer than this.
     pub fn forget_until(&mut self, end: Nanos) {
-        self.0.retain(|_, (as_of, _)| *as_of > end);
+        self.facts.retain(|_, (as_of, _)| *as_of > end);
+        self.stood.retain(|_, last| last[0].1 > end);
     }
 
     /// What is known of a server.
     pub fn of(&self, id: ServerId) -> impl Iterator<Item = &(Nanos, Fact)> {
-        self.0.range((id, 0)..=(id, u64::MAX)).map(|(_, told)| told)
+        self.facts.range((id, 0)..=(id, u64::MAX)).map(|(_, told)| told)
     }
 
-    /// The sum of a count over what is newer than a moment, each by `each` at most, but for the largest.
-    pub fn sum_but_most(&self, id: ServerId, since: Nanos, each: usize, count: fn(&Fact) -> u32) -> usize {
+    /// The sum of a count over what is newer than a moment, each by `each` at most, and the largest by no more than
+    /// the next: one front alone adds nothing, and takes nothing from what the others tell.
+    pub fn sum_bounded(&self, id: ServerId, since: Nanos, each: usize, count: fn(&Fact) -> u32) -> usize {
         let lately = self.of(id).filter(|(as_of, _)| *as_of > since);
         let counts = lately.map(|(_, fact)| (count(fact) as usize).min(each));
-        let (sum, most) = counts.fold((0, 0), |(sum, most), count| (sum + count, most.max(count)));
-        sum - most
+        let (sum, most, next) = counts.fold((0, 0, 0), |(sum, most, next), count| {
+            (sum + count, most.max(count), next.max(most.min(count)))
+        });
+        sum - most + next
     }
 
     /// Since when the voices of a server are kept whole: the oldest, where there are as many as are kept.
@@ -60,13 +87,30 @@
             voices.add(peer, as_of, fact(5, out));
         }
         assert_eq!((voices.of(5).count(), voices.whole_since(5)), (3, Some(20)), "1 told twice");
-        assert_eq!(voices.sum_but_most(5, 0, 4, |f| f.out), 2 + 1, "7 counts for 4, and is the largest");
+        assert_eq!(voices.sum_bounded(5, 0, 4, |f| f.out), 2 + 2 + 1, "7 counts for 4, and 4 for the next");
+        assert_eq!(voices.sum_bounded(5, 30, 4, |f| f.out), 0, "newer than 30 is one alone");
         voices.add(4, 50, fact(5, 0));
         assert_eq!((voices.of(5).count(), voices.whole_since(5)), (3, Some(30)), "the oldest is gone");
         voices.add(5, 60, fact(5, 3));
-        assert_eq!(voices.sum_but_most(5, 40, 4, |f| f.out), 0, "newer than 40 only");
+        assert_eq!(voices.sum_bounded(5, 40, 4, |f| f.out), 0, "newer than 40 only");
         voices.forget_until(50);
         assert_eq!((voices.of(5).count(), voices.whole_since(5)), (1, None));
         assert_eq!(voices.of(6).count(), 0);
     }
+
+    #[test]
+    fn something_stood_by_the_word_of_two_fronts() {
+        let mut voices = Voices::<3>::default();
+        let mut tell = |peer, as_of, stood| {
+            voices.add(peer, as_of, Fact { stood, ..fact(5, 0) });
+            voices.stood_ns(5)
+        };
+        assert_eq!([tell(1, 10, 3), tell(2, 20, 1)], [0, 0], "what stood before is not known");
+        assert_eq!([tell(1, 30, 4), tell(1, 40, 9)], [0, 0], "one alone, as often as it likes");
+        assert_eq!([tell(2, 50, 2), tell(3, 60, 0)], [40, 40], "the earlier of the two");
+        assert_eq!([tell(3, 70, 1), tell(2, 80, 1)], [50, 50], "less stood lately: nothing new");
+        assert_eq!(tell(0, 90, 1), 50);
+        voices.forget_until(70);
+        assert_eq!(voices.stood_ns(5), 0, "forgotten");
+    }
 }
--- a/crates/lilacpitch/tests/mechanism.rs
+++ b/crates/lilacpitch/tests/mechanism.rs
@@ -709,6 +709,10 @@
     // Ten out where six stood in three seconds: the line there is seconds long, whatever those before it waited.
     assert_eq!(sent_there_beside(&[Fact { stood: 1, ..quick }; 6]), 0);
     assert_eq!(sent_there_beside(&[Fact { stood: 1, out: 0, ..quick }; 6]), 40, "none is in line");
+    // Whoever takes it to be silent has its own lost there, not in line.
+    let (lost, well) = (Fact { suspect: true, ..quick }, Fact { stood: 2, out: 0, ..quick });
+    assert_eq!(sent_there_beside(&[well, well, well, lost, lost, lost]), 40);
+    assert_eq!(sent_there_beside(&[well, well, well, quick, quick, quick]), 0);
     // Two who have some out hold nobody back, and one that is wrong about what stood does not lend them weight.
     let (two, wrong) = (Fact { stood: 1, out: 4, ..quick }, Fact { stood: u32::MAX, out: 0, ..quick });
     assert_eq!(sent_there_beside(&[two, two]), 40);
@@ -720,6 +724,51 @@
     assert_eq!(sent_there_beside(&[Fact { age_ns: 2 * S, ..busy }; 6]), 40);
 }
 
+/// Whether a lone set-up at server 11 is called off within 1.2 s, three gaps, while these fronts tell that more
+/// and more stood there.
+fn called_off_beside(peers: u64) -> bool {
+    let mut front = Front::new(settings(), &two());
+    let (id, actions) = front.call(0);
+    assert_eq!(sent_to(&actions, id), Some(11));
+    for stood in 1..=12 {
+        for peer in 0..peers {
+            let fact = Fact { age_ns: 10 * MS, stood, out: 1, wait_ns: 300 * MS, ..calm(11) };
+            front.event(Event::Told { peer, facts: vec![fact] });
+        }
+        front.pass(100 * MS);
+    }
+    front.log.iter().any(|(_, action)| matches!(action, Action::Cancel { call, .. } if *call == id))
+}
+
+#[test]
+fn a_server_that_answers_others_is_busy_not_silent() {
+    // Many fronts above load 1: one set-up in four was called off while it had its turn coming, for others stood.
+    assert!(called_off_beside(0), "nobody tells: silent for two gaps");
+    assert!(called_off_beside(1), "one alone keeps nothing out");
+    assert!(!called_off_beside(2));
+}
+
+#[test]
+fn where_few_stood_the_shortest_of_them_is_not_the_way() {
+    // Many fronts above load 1: all that a front saw there had waited, and what waited as long was taken to be on its way.
+    let waits = |apart_ns: Nanos, span_ns: Nanos| {
+        let mut front = Front::new(settings(), &[entry(11, 1)]);
+        let end = front.now + span_ns;
+        while front.now < end {
+            let (id, _) = front.call(0);
+            front.pass(200 * MS);
+            front.stands(id, 0);
+            front.pass(apart_ns);
+        }
+        front.call(0);
+        front.pass(190 * MS);
+        front.event(Event::Wake);
+        front.brain.facts()[0].wait_ns
+    };
+    assert!(waits(3 * S, 12 * S) >= 190 * MS, "four in twelve seconds");
+    assert!(waits(100 * MS, 12 * S) < 20 * MS, "forty: what is on its way waits nowhere");
+}
+
 #[test]
 fn facts_fade_with_their_age() {
     let old = Fact { age_ns: 31 * S, suspect: true, ..calm(11) };
