Many fronts: who hears that a line is short joins it at a drawn moment, not all at once

Seen: 40 fronts, one of eleven servers silent at load 0.8: at 21.0 s 33 set-ups within 100 ms, seventeen of them at one server that had two in line and eight others with fourteen; again at 22.3, 22.7 and 22.8 s. Looked at in bins of 100 ms beside each server's line. At fault: told.rs, hear: all fronts learn within two rounds of news that a line is short, and each sends what it holds. Now each joins it at a moment drawn within a tenth of its own normal distance there (turn_ns), so that all together come at ten times the server's normal load at most until news has told of the first. Test seen to fail without it.

--- a/crates/lilacpitch/src/brain.rs
+++ b/crates/lilacpitch/src/brain.rs
@@ -55,8 +55,7 @@
 const LEAST_CUT: f64 = 0.8;
 /// The same where the processor is full, or nothing answered for SILENT_GAPS: where few were sent, and else.
 const HARD_CUT: (f64, f64) = (0.35, 0.5);
-/// A cold server gets so many times its share of the normal rate: at first, when a few by chance are many for
-/// it, and more as it warms.
+/// A cold server gets so many times its share of the normal rate: at first, and more as it warms.
 const COLD_TAKES: (f64, f64) = (0.75, 0.75);
 /// A cold server may get what stood there of late times this share of the multiple that pushes it over.
 const GROWTH_OF_TIP: f64 = 0.7;
@@ -71,8 +70,7 @@
 const STRAY: f64 = 0.25;
 /// A call at fault itself: of those that are not, a smaller share would have met faults wherever it was sent.
 const NOT_ITS_OWN: f64 = 0.02;
-/// Below this share of the normal rate, a ceiling grows with each set-up that stands at once: by this share
-/// of itself, and by so many set-ups a second at most.
+/// Below this share of normal a ceiling grows with each that stands at once: by this share, at most so much.
 const GROWS: (f64, f64, f64) = (0.9, 0.2, 1.0);
 /// Periods without a symptom before a ceiling starts to lapse.
 const CLEAN_PERIODS: u64 = 10;
@@ -80,6 +78,8 @@
 const LAPSE_STEP: f64 = 1.015;
 /// and by so much at most in the normal time between two set-ups; then once one stood at once again.
 const LAPSE_APART: (f64, f64) = (0.07, 0.2);
+/// Where others tell that a line has become short, each joins it within this share of its normal distance.
+const TURN_OF_APART: f64 = 0.1;
 /// A ceiling rises to so much of the offered or normal rate: all fronts' second choices fall on what is open.
 const LIFTED: f64 = 2.5;
 /// The lowest ceiling, as a share of the normal rate there: a little must pass, or nothing would be learned.
@@ -98,8 +98,7 @@
 /// The rest between live calls to a suspect begins at the normal distance there, and doubles so often.
 const TRIAL_DOUBLINGS: u32 = 4;
 
-/// What another front tells counts half after this time, a wait after that, set-ups out until then, and
-/// nothing past the last.
+/// What others tell counts half after this, a wait after that, set-ups out until then; nothing past the last.
 const FACT_KEPT_NS: Nanos = WINDOW_NS * 5;
 const WAIT_KEPT_NS: Nanos = PERIOD_NS * 10;
 const FACT_NS: Nanos = WINDOW_NS * 10;
@@ -472,8 +471,7 @@
                 || (unsafe_again && row.may_have_run.is_some()))
     }
 
-    /// Whether a call's wanted time has passed, counted from its caller's first try. In a jam half of the
-    /// calls are callers dialling again; served late they are worth little and displace fresh ones.
+    /// Whether the wanted time has passed since its caller's first try: served late it displaces fresh calls.
     fn is_late(&self, row: &Row) -> bool {
         self.now.saturating_sub(row.first_ns) > self.settings.classes[row.call.class].aim_ns
     }
--- a/crates/lilacpitch/src/brain/counts.rs
+++ b/crates/lilacpitch/src/brain/counts.rs
@@ -42,8 +42,7 @@
     }
 
     /// The overload state of a server for one more set-up: 0, 1 past S1, 2 past S2 of the ceiling, or the one
-    /// that the wait there calls for by itself: counts over a window see a jam of one second late; the age of
-    /// what is unanswered and the last set-up's delay show it as it grows.
+    /// that the wait there calls for: counts over a window see a jam of one second late.
     pub(super) fn overload_state(&self, server: &Server) -> u8 {
         let (gaps, estimate) = (self.wait_gaps(server), self.estimate(server, 1.0));
         let waiting = u8::from(gaps > LATE_GAPS) + u8::from(gaps > WAIT_GAPS_2);
@@ -88,7 +87,7 @@
     pub(super) fn holds_back(&self, server: &Server, row: &Row) -> bool {
         let call = &row.call;
         let rests = |s: Suspect| !server.out.is_empty() || self.now < s.next_trial_ns;
-        if self.now < server.told_wait_until_ns
+        if self.now < server.told_wait_until_ns.max(server.turn_ns)
             || server.suspect.is_some_and(rests)
             || !self.cold_room(server)
         {
--- a/crates/lilacpitch/src/brain/guards.rs
+++ b/crates/lilacpitch/src/brain/guards.rs
@@ -58,9 +58,8 @@
         rest.is_some_and(|until_ns| self.now < *until_ns)
     }
 
-    /// A just-started server has no ceiling and the fewest unanswered, so it would draw everything: it gets
-    /// this front's normal rate there times what it can do at its age. Where this front sees enough stand,
-    /// that shows what it can do: the rate may grow from it, far below what topples the server.
+    /// A just-started server would draw everything: it gets this front's normal rate there times what it can
+    /// do at its age. Where enough stands, the rate may grow from that, far below what topples the server.
     pub(super) fn cold_ceiling(&self, server: &Server) -> Option<f64> {
         let can_do = server.cold_share(self.now, &self.settings)?;
         let known = self.normal_per_s(server) * can_do * (COLD_TAKES.0 + COLD_TAKES.1 * can_do);
@@ -69,9 +68,7 @@
         Some(proven.map_or(known, |rate| known.max(rate * growth)))
     }
 
-    /// A cold server's share is paced, so that calls held here don't fall on it the moment it is listed. It
-    /// adds up bit by bit: the time since the last send, read at a rate that rises as the server warms, gave
-    /// the fronts that were nearly due their turn all at once.
+    /// A cold server's share adds up bit by bit: by the time since the last send many were due at once.
     pub(super) fn cold_room(&self, server: &Server) -> bool {
         self.cold_ceiling(server).is_none() || server.credit >= 1.0
     }
@@ -107,16 +104,13 @@
         server.delay_ns > 0 && server.delay_ns < share(self.gap_ns, QUICK_OF)
     }
 
-    /// Whether one more set-up may find out about those unanswered. A queue grows step by step; where set-ups
-    /// stood at once until now, one that stays out is lost or the server silent, and holding all others back
-    /// would leave that open. One at a time, a gap apart.
+    /// Whether one more set-up may find out if what stays out is lost or the server silent: one, a gap apart.
     pub(super) fn may_scout(&self, server: &Server) -> bool {
         let last_ns = server.out.last().map_or(self.now, |o| o.sent_ns);
         self.quick(server) && self.now - last_ns > self.gap_ns.max(self.apart_ns(server))
     }
 
-    /// Late set-ups press a server before their time-out; one that answers nothing at all is suspected, and
-    /// what waits there is called off while it can still stand elsewhere in time.
+    /// Late set-ups press a server before their time-out; one that answers nothing is suspected.
     pub(super) fn look_at_servers(&mut self, actions: &mut Vec<Action>) {
         let (now, gap_ns) = (self.now, self.gap_ns);
         let [late_ns, silent_ns, soon_ns] = [LATE_GAPS, SILENT_GAPS, LOST_PAST.1].map(|of| share(gap_ns, of));
--- a/crates/lilacpitch/src/brain/state.rs
+++ b/crates/lilacpitch/src/brain/state.rs
@@ -56,6 +56,8 @@
     pub(super) deaf_until_ns: Nanos,
     pub(super) cut: f64,
     pub(super) told_wait_until_ns: Nanos,
+    /// Its line became short by the word of others: from when on this front joins it.
+    pub(super) turn_ns: Nanos,
     pub(super) out: Vec<Unanswered>,
     pub(super) delay_ns: Nanos,
     /// The share of what stood, beside first attempts that ended by a fault; 0 at first.
--- a/crates/lilacpitch/src/brain/told.rs
+++ b/crates/lilacpitch/src/brain/told.rs
@@ -46,8 +46,7 @@
         }
     }
 
-    /// The median of what fronts tell of a server, each by its freshness, beside two that find nothing wrong;
-    /// `None` where those outweigh them.
+    /// The median of what fronts tell of a server, each by its freshness; `None` up to NOTHING_WRONG in all.
     pub(super) fn voices(&self, id: ServerId, kept_ns: Nanos, value: &dyn Fn(&Fact) -> f64) -> Option<f64> {
         let weight = |as_of: &Nanos| 0.5f64.powf(self.now.saturating_sub(*as_of) as f64 / kept_ns as f64);
         let told = self.told.of(id).map(|(as_of, fact)| (value(fact), weight(as_of)));
@@ -65,6 +64,8 @@
     /// What others tell of a server now: the wait there, where own set-ups are few; how many are in line
     /// (those of who takes it to be silent are lost) and stood. Who tells of most counts as the next does.
     pub(super) fn hear(&mut self, id: ServerId) {
+        let long = |c: &Self| c.servers.get(&id).is_some_and(|s| c.wait_gaps(s) > LATE_GAPS);
+        let was_long = long(self) && self.told.of(id).next().is_some();
         let since = |kept_ns| self.now.saturating_sub(kept_ns);
         let out = self.told.sum_bounded(id, since(WAIT_KEPT_NS), FEW, |f| f.out * u32::from(!f.suspect));
         let stood = self.told.sum_bounded(id, since(WINDOW_NS), FEW, |fact| fact.stood);
@@ -77,5 +78,13 @@
         let rate = few.filter(|_| stood > FEW).map(|s| (stood + s.stood.recent(self.period)) as f64 / span_s);
         let heard = (out, wait.map(|wait| wait as Nanos), rate);
         self.servers.entry(id).and_modify(|s| (s.told_out, s.told_wait_ns, s.told_stood_per_s) = heard);
+        // All hear at once that it is short: the fronts of many held calls would all join it now.
+        if let Some(server) =
+            self.servers.get(&id).filter(|s| was_long && s.turn_ns <= self.now && !long(self))
+        {
+            let apart_ns = self.apart_ns(server);
+            let turn_ns = self.now + share(apart_ns, TURN_OF_APART * self.drawn());
+            self.servers.entry(id).and_modify(|s| s.turn_ns = turn_ns);
+        }
     }
 }
--- a/crates/lilacpitch/tests/mechanism.rs
+++ b/crates/lilacpitch/tests/mechanism.rs
@@ -748,6 +748,32 @@
     assert!(!called_off_beside(2));
 }
 
+#[test]
+fn fronts_that_hear_at_once_of_a_short_line_join_it_one_by_one() {
+    // Forty fronts, one server in eleven silent: seventeen held set-ups fell on one empty server in a tenth of a second.
+    let joins_after = |calls: usize| {
+        let mut front = Front::new(settings(), &[entry(11, 1)]);
+        assert_eq!(answered_there(&mut front, calls, 4 * S, &[]), calls);
+        let tell = |front: &mut Front, out: u32| -> Vec<Action> {
+            let fact = Fact { age_ns: 0, stood: 2, out, ..calm(11) };
+            (0..6).flat_map(|peer| front.event(Event::Told { peer, facts: vec![fact] })).collect()
+        };
+        tell(&mut front, 4);
+        let (id, held) = front.call(0);
+        assert_eq!(sent_to(&held, id), None, "24 are in line");
+        let from = front.now;
+        let mut actions = tell(&mut front, 0);
+        while sent_to(&actions, id).is_none() && front.now < from + 600 * MS {
+            actions = front.pass(10 * MS);
+        }
+        assert_eq!(sent_to(&actions, id), Some(11), "a tenth of four seconds at most, and the period's end");
+        front.now - from
+    };
+    let after: Vec<Nanos> = (10..40).map(joins_after).collect();
+    let within = |span_ns| after.iter().filter(|after| **after <= span_ns).count();
+    assert!(within(60 * MS) < 15 && within(200 * MS) > 5 && within(510 * MS) == 30, "{after:?}");
+}
+
 #[test]
 fn where_few_stood_the_shortest_of_them_is_not_the_way() {
     // Many fronts above load 1: all that a front saw there had waited, and what waited as long was taken to be on its way.
