Turns only where a front's own set-ups are few; less work per fact; truer comments

At fault: told.rs, hear, which drew turns wherever others tell. Now only where the line of all fronts stands in for the own one, which also drops a wait worked out per server and period where nobody tells. Three comments that folding had made untrue are put right.

--- a/crates/lilacpitch/src/brain.rs
+++ b/crates/lilacpitch/src/brain.rs
@@ -70,7 +70,7 @@
 const STRAY: f64 = 0.25;
 /// A call at fault itself: of those that are not, a smaller share would have met faults wherever it was sent.
 const NOT_ITS_OWN: f64 = 0.02;
-/// Below this share of normal a ceiling grows with each that stands at once: by this share, at most so much.
+/// Below this share of normal each that stands at once lifts a ceiling: by a share, at most so many a second.
 const GROWS: (f64, f64, f64) = (0.9, 0.2, 1.0);
 /// Periods without a symptom before a ceiling starts to lapse.
 const CLEAN_PERIODS: u64 = 10;
--- a/crates/lilacpitch/src/brain/guards.rs
+++ b/crates/lilacpitch/src/brain/guards.rs
@@ -110,7 +110,7 @@
         self.quick(server) && self.now - last_ns > self.gap_ns.max(self.apart_ns(server))
     }
 
-    /// Late set-ups press a server before their time-out; one that answers nothing is suspected.
+    /// Late set-ups press a server before their time-out; a silent one is suspected and left.
     pub(super) fn look_at_servers(&mut self, actions: &mut Vec<Action>) {
         let (now, gap_ns) = (self.now, self.gap_ns);
         let [late_ns, silent_ns, soon_ns] = [LATE_GAPS, SILENT_GAPS, LOST_PAST.1].map(|of| share(gap_ns, of));
--- a/crates/lilacpitch/src/brain/told.rs
+++ b/crates/lilacpitch/src/brain/told.rs
@@ -46,7 +46,7 @@
         }
     }
 
-    /// The median of what fronts tell of a server, each by its freshness; `None` up to NOTHING_WRONG in all.
+    /// The median of what fronts tell, each by its freshness, and NOTHING_WRONG; `None` where that outweighs.
     pub(super) fn voices(&self, id: ServerId, kept_ns: Nanos, value: &dyn Fn(&Fact) -> f64) -> Option<f64> {
         let weight = |as_of: &Nanos| 0.5f64.powf(self.now.saturating_sub(*as_of) as f64 / kept_ns as f64);
         let told = self.told.of(id).map(|(as_of, fact)| (value(fact), weight(as_of)));
@@ -65,7 +65,7 @@
     /// (those of who takes it to be silent are lost) and stood. Who tells of most counts as the next does.
     pub(super) fn hear(&mut self, id: ServerId) {
         let long = |c: &Self| c.servers.get(&id).is_some_and(|s| c.wait_gaps(s) > LATE_GAPS);
-        let was_long = long(self) && self.told.of(id).next().is_some();
+        let was_long = self.servers.get(&id).is_some_and(|s| s.told_stood_per_s.is_some()) && long(self);
         let since = |kept_ns| self.now.saturating_sub(kept_ns);
         let out = self.told.sum_bounded(id, since(WAIT_KEPT_NS), FEW, |f| f.out * u32::from(!f.suspect));
         let stood = self.told.sum_bounded(id, since(WINDOW_NS), FEW, |fact| fact.stood);
