--- /dev/null
+++ b/crates/lilacpitch-register/src/lib.rs
@@ -0,0 +1,25 @@
+//! The register of numbers that a site holds, without I/O.
+//!
+//! - [`row`]: a number, where it is reached or which call stands there, and since when.
+//! - [`query`]: a question over rows, with a cursor where there are more than fit.
+//! - [`register`]: rows in shards by hash of the number, each shard under its own lock.
+//! - [`summary`]: what a site says of a shard: no number outside it has a row there. It may only err towards
+//!   asking. [`gcs`] is its compact form.
+//!
+//! **Order of locks.** No function here holds two shards' locks at once, so there is no order to keep; whoever
+//! holds a lock of its own may call in here, and nothing here calls out while a shard is locked.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod error;
+pub mod gcs;
+pub mod query;
+pub mod register;
+pub mod row;
+pub mod summary;
+
+pub use error::RegisterError;
+pub use query::{Page, Query, What};
+pub use register::Register;
+pub use row::{Holder, Key, Kind, Number, Row};
+pub use summary::{ShardNews, ShardSummary};
--- /dev/null
+++ b/crates/lilacpitch-register/src/row.rs
@@ -0,0 +1,140 @@
+//! Rows: a number, where it is reached or which call stands, and since when.
+
+use crate::error::RegisterError;
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// Longest number, as in call control.
+const MAX_DIGITS: usize = 32;
+/// Longest name of a class, trunk group, front or server.
+const MAX_NAME_BYTES: usize = 64;
+
+/// A number as it is dialled: 1 to 32 of `0-9*#`, a `+` before them at most.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Number(Box<str>);
+
+impl Number {
+    /// Reads a number.
+    pub fn new(text: &str) -> Result<Self, RegisterError> {
+        let digits = text.strip_prefix('+').unwrap_or(text);
+        let sound = |b: u8| b.is_ascii_digit() || b == b'*' || b == b'#';
+        if digits.is_empty() || digits.len() > MAX_DIGITS || !digits.bytes().all(sound) {
+            return Err(RegisterError::Number(text.chars().take(40).collect()));
+        }
+        Ok(Number(text.into()))
+    }
+
+    /// Its digits.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+
+    /// The same in every process and build: shards and summaries rest on it (XXH3, 64 bits).
+    pub fn hash64(&self) -> u64 {
+        xxhash_rust::xxh3::xxh3_64(self.0.as_bytes())
+    }
+}
+
+impl fmt::Display for Number {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl TryFrom<String> for Number {
+    type Error = RegisterError;
+
+    fn try_from(text: String) -> Result<Self, RegisterError> {
+        Number::new(&text)
+    }
+}
+
+impl From<Number> for String {
+    fn from(number: Number) -> String {
+        number.0.into()
+    }
+}
+
+/// What a row says of its number.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Kind {
+    /// A handset, console or driver is reached here.
+    Reached,
+    /// A call to it stands here.
+    Standing,
+}
+
+impl Kind {
+    /// As it is written on pages.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Kind::Reached => "reached",
+            Kind::Standing => "standing",
+        }
+    }
+}
+
+/// Who holds a row: a front for a number that is reached, a server for a call that stands.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Holder {
+    /// The front's or the server's name.
+    pub name: String,
+    /// The front that wrote the row: whoever it belonged to goes with that front's life.
+    pub front: String,
+    /// That life of the front, in nanoseconds since 1970.
+    pub life: u64,
+    /// Tells rows of one holder for one number apart: the front's number of the connection or call.
+    pub serial: u64,
+}
+
+/// What makes a row one: its number and who holds it.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Key {
+    /// The number.
+    pub number: Number,
+    /// What the row says.
+    pub kind: Kind,
+    /// Who holds it.
+    pub holder: Holder,
+}
+
+impl Key {
+    /// Not after any key whose number begins so: where a range of them starts.
+    pub(crate) fn first_of(digits: &str) -> Self {
+        let holder = Holder { name: String::new(), front: String::new(), life: 0, serial: 0 };
+        Key { number: Number(digits.into()), kind: Kind::Reached, holder }
+    }
+}
+
+/// One row.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Row {
+    /// Its key.
+    pub key: Key,
+    /// The class of the call, or of calls to it; may be empty.
+    pub class: String,
+    /// The trunk group: the pool through which it is reached or through which the call stands.
+    pub trunk_group: String,
+    /// Since when, in milliseconds since 1970, by the clock of the front that wrote it.
+    pub since_ms: u64,
+}
+
+impl Row {
+    /// Whether its names can be some; its number was checked when it was read.
+    pub fn check(&self) -> Result<(), RegisterError> {
+        let names = [
+            ("class", &self.class),
+            ("trunk group", &self.trunk_group),
+            ("holder", &self.key.holder.name),
+            ("front", &self.key.holder.front),
+        ];
+        for (field, name) in names {
+            if name.len() > MAX_NAME_BYTES || !name.bytes().all(|b| b.is_ascii_graphic()) {
+                let found = name.chars().take(40).collect();
+                return Err(RegisterError::Name { field, found });
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/lilacpitch-register/src/summary.rs
@@ -0,0 +1,126 @@
+//! What a site says of a shard, and how a router keeps it.
+
+use crate::error::RegisterError;
+use crate::gcs;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
+
+/// Which shard a number's hash falls into.
+pub fn shard_of(hash: u64, shards: usize) -> usize {
+    (((hash >> 32) * shards as u64) >> 32) as usize
+}
+
+/// What summaries know of a number, beside its shard: the half of the hash that the shard does not rest on.
+pub fn fingerprint(hash: u64) -> u32 {
+    hash as u32
+}
+
+/// The writer's side of a shard's summary: what was added since the base, numbered.
+#[derive(Debug, Clone, Default)]
+pub struct Changes {
+    /// The newest version: it grows by one with each number added.
+    pub version: u64,
+    base_version: u64,
+    base: Vec<u8>,
+    base_count: usize,
+    added: Vec<u32>,
+}
+
+/// More than this beside the base, as a share of it and at least, and a new base is smaller to send.
+const ADDED_SHARE: usize = 16;
+const ADDED_LEAST: usize = 32;
+
+impl Changes {
+    /// A number has a row now. What is withdrawn stays in until the next base: it errs towards asking.
+    pub fn add(&mut self, fingerprint: u32) {
+        self.version += 1;
+        self.added.push(fingerprint);
+    }
+
+    /// Whether a new base is due.
+    pub fn base_is_due(&self) -> bool {
+        self.added.len() > ADDED_LEAST.max(self.base_count / ADDED_SHARE)
+    }
+
+    /// Takes a new base: the fingerprints of all numbers that have rows, each once.
+    pub fn rebase(&mut self, fingerprints: &[u32]) {
+        // More than a set can hold: an empty base with everything added would do, but a shard is never so large.
+        self.version += 1;
+        self.base_version = self.version;
+        self.base = gcs::write(fingerprints);
+        self.base_count = fingerprints.len();
+        self.added.clear();
+    }
+
+    /// What a router lacks that has this version; `None` is a router that has nothing of this life.
+    pub fn since(&self, shard: u32, known: Option<u64>) -> Option<ShardNews> {
+        let version = self.version;
+        match known {
+            Some(known) if known == version => None,
+            Some(known) if known >= self.base_version && known < version => {
+                let lacks = (version - known) as usize;
+                let added = self.added[self.added.len() - lacks..].to_vec();
+                Some(ShardNews { shard, version, base: None, added })
+            }
+            _ => {
+                let base = Some((self.base_count as u32, self.base.clone()));
+                Some(ShardNews { shard, version, base, added: self.added.clone() })
+            }
+        }
+    }
+}
+
+/// News of a shard's summary.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ShardNews {
+    /// The shard.
+    pub shard: u32,
+    /// The version that a router has once it has taken this.
+    pub version: u64,
+    /// A new base: how many values, and they.
+    pub base: Option<(u32, Vec<u8>)>,
+    /// Fingerprints added since that base, or since the version that the router named.
+    pub added: Vec<u32>,
+}
+
+/// The router's side: a shard's summary as last heard.
+#[derive(Debug, Clone, Default)]
+pub struct ShardSummary {
+    version: u64,
+    base: Vec<u32>,
+    added: BTreeSet<u32>,
+}
+
+impl ShardSummary {
+    /// The version it is of.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Takes news that was asked for with [`ShardSummary::version`].
+    pub fn take(&mut self, news: &ShardNews) -> Result<(), RegisterError> {
+        if let Some((count, bytes)) = &news.base {
+            let values = gcs::read(bytes, *count as usize);
+            let what = "its bits are not the values it names";
+            self.base = values.ok_or(RegisterError::Summary { shard: news.shard, what })?;
+            self.added.clear();
+        } else if news.version.checked_sub(self.version) != Some(news.added.len() as u64) {
+            let what = "changes that do not follow on what is known";
+            return Err(RegisterError::Summary { shard: news.shard, what });
+        }
+        self.added.extend(&news.added);
+        self.version = news.version;
+        Ok(())
+    }
+
+    /// Whether a number of this fingerprint could have a row. Never false for one that had one at its moment.
+    pub fn could(&self, fingerprint: u32) -> bool {
+        let value = gcs::scaled(fingerprint, self.base.len());
+        self.added.contains(&fingerprint) || self.base.binary_search(&value).is_ok()
+    }
+
+    /// Whether this very number was added since the base: it has changed of late.
+    pub fn added_of_late(&self, fingerprint: u32) -> bool {
+        self.added.contains(&fingerprint)
+    }
+}
