--- /dev/null
+++ b/crates/lilacpitch-fleet/src/asker.rs
@@ -0,0 +1,176 @@
+//! Which process of a site gets a question, when, whether again, and when it is refused: the module decides, as it
+//! does for calls. Sites are its pools, processes its servers, 'full' a full processor; a class for each site and
+//! urgency, so that no question strays to another site.
+
+use crate::Nanos;
+use lilacpitch::interface::{
+    Action, Availability, Call, Class, Entry, News, Outcome, Repeat, Report, ServerId, Settings,
+};
+use lilacpitch::{Controller, Event};
+
+/// Spans for questions.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Timing {
+    /// Wanted time of an answer.
+    pub aim_ns: Nanos,
+    /// The clock's grain.
+    pub tick_ns: Nanos,
+}
+
+/// What is to be done.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Do {
+    /// Ask this process; without an answer after the span the attempt has timed out.
+    Ask {
+        /// The question.
+        question: u64,
+        /// The attempt.
+        attempt: u32,
+        /// The site, by its place.
+        site: usize,
+        /// The process, by its place in the site.
+        process: usize,
+        /// At most so long.
+        timeout_ns: Nanos,
+    },
+    /// No answer will come: refused.
+    Refuse(u64),
+    /// No answer will come: all attempts failed.
+    Fail(u64),
+    /// Wake this again at that moment.
+    WakeAt(Nanos),
+}
+
+/// The module in the midst of questions.
+pub struct Asker {
+    brain: Controller,
+    actions: Vec<Action>,
+    next: u64,
+    attempts: std::collections::BTreeMap<u64, u32>,
+}
+
+/// Processes that one site may have at most, as ids of servers go.
+const MOST_PROCESSES: u64 = 64;
+
+impl Asker {
+    /// For sites with so many processes each.
+    pub fn new(sites: &[usize], timing: Timing, now: Nanos, seed: u64) -> Self {
+        let class = |site: u32, urgent: bool| Class {
+            aim_ns: timing.aim_ns,
+            deadline_ns: timing.aim_ns * 4,
+            worth: if urgent { 10.0 } else { 1.0 },
+            late_worth: 0.5,
+            // A question changes nothing.
+            repeat: Repeat::Safe,
+            memory_ns: 0,
+            pools: vec![site],
+        };
+        let classes =
+            (0..sites.len() as u32).flat_map(|site| [class(site, false), class(site, true)]).collect();
+        let settings = Settings {
+            classes,
+            home: None,
+            resend_ns: 0,
+            release_ns: 0,
+            max_attempts: 3,
+            // Attempts that time out go to another process while there is time.
+            may_cancel: false,
+            max_come_back_ns: 0,
+            list_on_request: false,
+            cold_from: 1.0,
+            cold_ns: 0,
+            tip_multiple: 1e6,
+            tick_ns: timing.tick_ns,
+        };
+        let entry = |site: usize, process: usize| Entry {
+            server: site as u64 * MOST_PROCESSES + process as u64,
+            number: site as u32,
+            zone: 0,
+            availability: Availability::Ready,
+            up_since_ns: 0,
+        };
+        let all = sites.iter().enumerate().flat_map(|(site, count)| (0..*count).map(move |p| entry(site, p)));
+        let mut brain = Controller::new(settings, seed);
+        let mut actions = Vec::new();
+        brain.handle(now, Event::List(News::Full(all.collect())), &mut actions);
+        Asker { brain, actions, next: 1, attempts: std::collections::BTreeMap::new() }
+    }
+
+    /// A question to a site, with at most so long; its number.
+    pub fn ask(&mut self, now: Nanos, site: usize, urgent: bool, budget_ns: Nanos, out: &mut Vec<Do>) -> u64 {
+        let id = self.next;
+        self.next += 1;
+        self.attempts.insert(id, 0);
+        let call = Call {
+            id,
+            class: 2 * site + usize::from(urgent),
+            first_choice: site as u32,
+            budget_ns,
+            dialled: None,
+            width: 1.0,
+            again: false,
+            in_transit: false,
+        };
+        self.handle(now, Event::Call(call), out);
+        id
+    }
+
+    /// An attempt has ended.
+    pub fn ended(&mut self, now: Nanos, done: Do, outcome: Outcome, out: &mut Vec<Do>) {
+        let Do::Ask { question, attempt, site, process, .. } = done else { return };
+        let server = server(site, process);
+        if outcome == Outcome::Passed {
+            self.attempts.remove(&question);
+            self.handle(now, Event::Standing { call: question, attempt }, out);
+        }
+        let closed = outcome == Outcome::Passed;
+        let report = Report::default();
+        let event = Event::Settled { call: question, attempt, server, outcome, closed, report };
+        self.handle(now, event, out);
+    }
+
+    /// Nobody wants the answer any more.
+    pub fn forget(&mut self, now: Nanos, question: u64, out: &mut Vec<Do>) {
+        if self.attempts.remove(&question).is_some() {
+            self.handle(now, Event::CallerGone(question), out);
+        }
+    }
+
+    /// A wake-up that was asked for.
+    pub fn wake(&mut self, now: Nanos, out: &mut Vec<Do>) {
+        self.handle(now, Event::Wake, out);
+    }
+
+    fn handle(&mut self, now: Nanos, event: Event, out: &mut Vec<Do>) {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.brain.handle(now, event, &mut actions);
+        for action in actions.drain(..) {
+            match action {
+                Action::Send { call, server, timeout_ns } => {
+                    let Some(attempts) = self.attempts.get_mut(&call) else { continue };
+                    let attempt = *attempts;
+                    *attempts += 1;
+                    let (site, process) = (server / MOST_PROCESSES, server % MOST_PROCESSES);
+                    let (site, process) = (site as usize, process as usize);
+                    out.push(Do::Ask { question: call, attempt, site, process, timeout_ns });
+                }
+                Action::Refuse { call, .. } => {
+                    self.attempts.remove(&call);
+                    out.push(Do::Refuse(call));
+                }
+                Action::Fail { call } => {
+                    self.attempts.remove(&call);
+                    out.push(Do::Fail(call));
+                }
+                Action::WakeAt(at) => out.push(Do::WakeAt(at)),
+                // Without leave to call attempts off there is none; the list does not change.
+                Action::Cancel { .. } | Action::Subscribe => {}
+            }
+        }
+        self.actions = actions;
+    }
+}
+
+fn server(site: usize, process: usize) -> ServerId {
+    site as u64 * MOST_PROCESSES + process as u64
+}
--- /dev/null
+++ b/crates/lilacpitch-fleet/src/catalogue.rs
@@ -0,0 +1,223 @@
+//! Summaries of sites as a process has them, and which sites could hold what is asked for.
+
+use crate::message::{Known, Pending, Position, SiteNews};
+use crate::{Guards, Nanos};
+use lilacpitch_register::summary::{fingerprint, shard_of};
+use lilacpitch_register::{Query, RegisterError, ShardSummary, What};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Bytes of news in one answer; the rest is asked for again.
+pub const NEWS_BYTES: usize = 1 << 20;
+/// Most shards that a site may say it has.
+const MAX_SHARDS: u32 = 1 << 16;
+
+/// What a summary says of a question.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// Nothing there, by this version as of then.
+    RuledOut {
+        /// The life of the process whose versions these are.
+        life: u64,
+        /// The sum of the versions of all shards.
+        total: u64,
+        /// When it was asked for.
+        as_of_ns: Nanos,
+    },
+    /// To be asked: it could be there.
+    Could,
+    /// To be asked: the summary is too old, of a question that it does not cover, or not there.
+    Unknown,
+}
+
+#[derive(Debug, Default)]
+struct Summary {
+    life: u64,
+    shards: Vec<ShardSummary>,
+    total: u64,
+    /// When what it says was asked for by the first of the way; `None`: not whole yet.
+    as_of_ns: Option<Nanos>,
+    pending: BTreeSet<u64>,
+    many_pending: bool,
+    ordered: Position,
+    lacks: bool,
+}
+
+/// The summaries of all sites.
+#[derive(Debug)]
+pub struct Catalogue {
+    settle_ns: Nanos,
+    guards: Guards,
+    sites: BTreeMap<String, Summary>,
+}
+
+impl Catalogue {
+    /// Of these sites, none heard of yet; a summary older than `settle_ns` rules nothing out.
+    pub fn new<'a>(sites: impl IntoIterator<Item = &'a str>, settle_ns: Nanos, guards: Guards) -> Self {
+        let sites = sites.into_iter().map(|name| (name.to_string(), Summary::default())).collect();
+        Catalogue { settle_ns, guards, sites }
+    }
+
+    fn fresh(&self, summary: &Summary, now: Nanos) -> Option<Nanos> {
+        let young = |at: &Nanos| now.saturating_sub(*at) <= self.settle_ns || !self.guards.ages;
+        summary.as_of_ns.filter(young)
+    }
+
+    /// What each site's summary says of a question.
+    pub fn judge<'a>(&'a self, now: Nanos, query: &'a Query) -> impl Iterator<Item = (&'a str, Verdict)> {
+        let hash = match &query.what {
+            What::Number(number) => Some(number.hash64()),
+            // A summary knows whole numbers only.
+            What::Prefix(_) => None,
+        };
+        self.sites.iter().map(move |(site, summary)| {
+            let verdict = match (self.fresh(summary, now), hash) {
+                (Some(as_of_ns), Some(hash)) => {
+                    let shard = &summary.shards[shard_of(hash, summary.shards.len())];
+                    let out = Verdict::RuledOut { life: summary.life, total: summary.total, as_of_ns };
+                    if shard.could(fingerprint(hash)) {
+                        Verdict::Could
+                    } else {
+                        out
+                    }
+                }
+                _ => Verdict::Unknown,
+            };
+            (site.as_str(), verdict)
+        })
+    }
+
+    /// Whether what was cached of a number, by a holder that has applied orders up to `applied`, is still what the
+    /// sites would say: every summary is fresh, and all that changed has been ordered and applied.
+    pub fn bears_out(&self, now: Nanos, hash: u64, applied: Position) -> bool {
+        self.sites.values().all(|summary| {
+            let ordered = summary.ordered.order == 0 || applied.reaches(summary.ordered);
+            let pending = summary.many_pending || summary.pending.contains(&hash);
+            self.fresh(summary, now).is_some() && ordered && !pending
+        })
+    }
+
+    /// Sites whose summaries are too old or not there.
+    pub fn unknown(&self, now: Nanos) -> Vec<String> {
+        let stale = self.sites.iter().filter(|(_, summary)| self.fresh(summary, now).is_none());
+        stale.map(|(site, _)| site.clone()).collect()
+    }
+
+    /// What to ask for news with.
+    pub fn known(&self) -> Vec<Known> {
+        let known = |(site, summary): (&String, &Summary)| Known {
+            site: site.clone(),
+            life: summary.life,
+            shards: match summary.lacks {
+                true => summary.shards.iter().map(ShardSummary::version).collect(),
+                false => Vec::new(),
+            },
+            total: summary.total,
+        };
+        self.sites.iter().map(known).collect()
+    }
+
+    /// Takes an answer to a question that was asked at `asked_ns`; whether more is to be asked for at once. News that
+    /// does not read costs that site its summary until the next, and nothing else.
+    pub fn take(&mut self, asked_ns: Nanos, all: Vec<SiteNews>) -> (bool, Vec<RegisterError>) {
+        let (mut more, mut wrong) = (false, Vec::new());
+        for news in all {
+            let Some(summary) = self.sites.get_mut(&news.site) else { continue };
+            match take(summary, asked_ns, news) {
+                Ok(lacks) => more |= lacks,
+                Err(error) => {
+                    *summary = Summary::default();
+                    wrong.push(error);
+                }
+            }
+        }
+        (more, wrong)
+    }
+
+    /// What another process lacks of these summaries, but for those that `skip` names.
+    pub fn news(&self, now: Nanos, known: &[Known], skip: impl Fn(&str) -> bool) -> Vec<SiteNews> {
+        let mut room = NEWS_BYTES;
+        let mut all = Vec::new();
+        for known in known.iter().filter(|known| !skip(&known.site)) {
+            let Some(summary) = self.sites.get(&known.site) else { continue };
+            let Some(as_of_ns) = summary.as_of_ns else { continue };
+            let shard = |at: usize, version| summary.shards[at].since(at as u32, Some(version));
+            let (life, total, shards) = (summary.life, summary.total, summary.shards.len());
+            let (news, more) = news_of(known, life, total, shards, &mut room, shard);
+            all.push(SiteNews {
+                site: known.site.clone(),
+                life: summary.life,
+                shards: summary.shards.len() as u32,
+                total: summary.total,
+                age_ns: now.saturating_sub(as_of_ns),
+                pending: match summary.many_pending {
+                    true => Pending::Many,
+                    false => Pending::Some(summary.pending.iter().copied().collect()),
+                },
+                ordered: summary.ordered,
+                news,
+                more,
+            });
+        }
+        all
+    }
+}
+
+/// What is new of a site's shards for one that knows so much, within the room that is left; whether there is more.
+pub fn news_of(
+    known: &Known,
+    life: u64,
+    total: u64,
+    shards: usize,
+    room: &mut usize,
+    mut since: impl FnMut(usize, u64) -> Option<lilacpitch_register::ShardNews>,
+) -> (Vec<lilacpitch_register::ShardNews>, bool) {
+    if known.life == life && known.total == total {
+        return (Vec::new(), false);
+    }
+    if known.life != life || known.shards.len() != shards {
+        return (Vec::new(), true);
+    }
+    let mut news = Vec::new();
+    for (at, version) in known.shards.iter().enumerate() {
+        if *room == 0 {
+            return (news, true);
+        }
+        if let Some(one) = since(at, *version) {
+            let bytes = one.base.as_ref().map_or(0, |(_, bytes)| bytes.len()) + 5 * one.added.len() + 16;
+            *room = room.saturating_sub(bytes);
+            news.push(one);
+        }
+    }
+    (news, false)
+}
+
+/// Takes one site's news; whether it lacks something.
+fn take(summary: &mut Summary, asked_ns: Nanos, news: SiteNews) -> Result<bool, RegisterError> {
+    if news.shards == 0 || news.shards > MAX_SHARDS {
+        return Err(RegisterError::Shards(news.shards as usize));
+    }
+    if summary.life != news.life || summary.shards.len() != news.shards as usize {
+        let shards = vec![ShardSummary::default(); news.shards as usize];
+        *summary = Summary { life: news.life, shards, ..Summary::default() };
+    }
+    for one in &news.news {
+        let what = "a shard that the site does not have";
+        let shard = summary.shards.get_mut(one.shard as usize);
+        shard.ok_or(RegisterError::Summary { shard: one.shard, what })?.take(one)?;
+    }
+    summary.total = summary.shards.iter().map(ShardSummary::version).sum();
+    summary.lacks = summary.total != news.total;
+    if !summary.lacks {
+        let as_of_ns = asked_ns.saturating_sub(news.age_ns);
+        // The older of two answers takes nothing back.
+        if summary.as_of_ns.is_none_or(|held| held <= as_of_ns) {
+            summary.as_of_ns = Some(as_of_ns);
+            summary.ordered = news.ordered;
+            (summary.pending, summary.many_pending) = match news.pending {
+                Pending::Some(some) => (some.into_iter().collect(), false),
+                Pending::Many => (BTreeSet::new(), true),
+            };
+        }
+    }
+    Ok(summary.lacks)
+}
--- /dev/null
+++ b/crates/lilacpitch-fleet/src/frame.rs
@@ -0,0 +1,95 @@
+//! Frames of a link: sealed with the keys of peers, and counted, so that none is taken twice, late or elsewhere.
+
+use crate::error::FrameError;
+use crate::message::{Body, Hello, VERSION};
+use lilacpitch_peers::Keys;
+use serde::{Deserialize, Serialize};
+
+/// Longest frame.
+pub const MAX_FRAME_BYTES: usize = 8 << 20;
+/// What frames are sealed for: a datagram among fronts is none.
+const PURPOSE: &[u8] = b"lilacpitch.fleet.1";
+const NONCE_BYTES: usize = 24;
+
+#[derive(Serialize, Deserialize)]
+struct Envelope<B> {
+    /// What the other end drew for this connection; 0 in the first frame.
+    to: u64,
+    counter: u64,
+    body: B,
+}
+
+/// Writes the frames of one end.
+#[derive(Debug)]
+pub struct Writer {
+    keys: Keys,
+    to: u64,
+    counter: u64,
+}
+
+impl Writer {
+    /// For a connection whose other end has not spoken yet.
+    pub fn new(keys: Keys) -> Self {
+        Writer { keys, to: 0, counter: 0 }
+    }
+
+    /// From now on frames name what the other end drew.
+    pub fn met(&mut self, hello: &Hello) {
+        self.to = hello.nonce;
+    }
+
+    /// One frame. `nonce` must be drawn anew for each.
+    pub fn frame(&mut self, body: &Body, nonce: [u8; NONCE_BYTES]) -> Result<Vec<u8>, FrameError> {
+        let envelope = Envelope { to: self.to, counter: self.counter, body };
+        self.counter += 1;
+        let plain = postcard::to_allocvec(&envelope).map_err(|e| FrameError::Malformed(e.to_string()))?;
+        let sealed = self.keys.seal_for(PURPOSE, &plain, nonce);
+        if sealed.len() > MAX_FRAME_BYTES {
+            return Err(FrameError::Length(sealed.len()));
+        }
+        Ok(sealed)
+    }
+}
+
+/// Reads the frames of the other end.
+#[derive(Debug)]
+pub struct Reader {
+    keys: Keys,
+    own: u64,
+    counter: u64,
+}
+
+impl Reader {
+    /// `own` is what this end drew for the connection.
+    pub fn new(keys: Keys, own: u64) -> Self {
+        Reader { keys, own, counter: 0 }
+    }
+
+    /// Opens the next frame.
+    pub fn open(&mut self, bytes: &[u8]) -> Result<Body, FrameError> {
+        if bytes.len() > MAX_FRAME_BYTES {
+            return Err(FrameError::Length(bytes.len()));
+        }
+        let plain = self.keys.open_for(PURPOSE, bytes).map_err(|_| FrameError::Forged)?;
+        let envelope: Envelope<Body> =
+            postcard::from_bytes(&plain).map_err(|e| FrameError::Malformed(e.to_string()))?;
+        let first = self.counter == 0;
+        let here = if first { envelope.to == 0 } else { envelope.to == self.own };
+        if envelope.counter != self.counter || !here {
+            return Err(FrameError::Order { found: envelope.counter, wanted: self.counter });
+        }
+        self.counter += 1;
+        match (&envelope.body, first) {
+            (Body::Hello(hello), true) if hello.version != VERSION => Err(FrameError::Version(hello.version)),
+            (Body::Hello(_), true) | (Body::Ask(..) | Body::Answer(..), false) => Ok(envelope.body),
+            _ => Err(FrameError::Malformed("not what comes first, or first again".into())),
+        }
+    }
+}
+
+/// Opens a frame as a reader of both ends' talk does, with no regard to order: for the laboratory's judge.
+#[doc(hidden)]
+pub fn peek(keys: &Keys, bytes: &[u8]) -> Option<Body> {
+    let plain = keys.open_for(PURPOSE, bytes).ok()?;
+    postcard::from_bytes::<Envelope<Body>>(&plain).ok().map(|envelope| envelope.body)
+}
--- /dev/null
+++ b/crates/lilacpitch-fleet/src/holder.rs
@@ -0,0 +1,122 @@
+//! The lower end of the purge's way: a process that holds what orders may withdraw, be it a front's cache or a relay.
+
+use crate::error::{LeaseError, PurgeError};
+use crate::lease::Lease;
+use crate::message::{Order, Position, Response, What};
+use crate::Nanos;
+use std::collections::BTreeSet;
+
+/// What an answer of the process above means to a holder.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Taken {
+    /// These orders are next, to be applied in turn.
+    Orders(Vec<Order>),
+    /// Everything cached is to be dropped; then ask again.
+    Dropped,
+    /// No lease this time.
+    Nothing,
+}
+
+/// A holder's position, lease, and what is withdrawn. Whoever owns it applies what it hands out before it goes on.
+#[derive(Debug, Clone, Default)]
+pub struct Holder {
+    position: Option<Position>,
+    lease: Option<Lease>,
+    withdrawn: BTreeSet<u64>,
+    settings: u64,
+}
+
+impl Holder {
+    /// A holder that acts on this settings version and has applied nothing.
+    pub fn new(settings: u64) -> Self {
+        Holder { settings, ..Holder::default() }
+    }
+
+    /// What to ask for a lease with.
+    pub fn position(&self) -> Option<Position> {
+        self.position
+    }
+
+    /// Settings versions that are withdrawn.
+    pub fn withdrawn(&self) -> &BTreeSet<u64> {
+        &self.withdrawn
+    }
+
+    /// Whether this holder's own settings version is.
+    pub fn is_withdrawn(&self) -> bool {
+        self.withdrawn.contains(&self.settings)
+    }
+
+    /// Until when what is cached may be used, judged now: after a standstill, before an answer.
+    pub fn usable(&self, now: Nanos) -> Result<Nanos, LeaseError> {
+        if self.is_withdrawn() {
+            return Err(LeaseError::Withdrawn);
+        }
+        let lease = self.lease.filter(|lease| now < lease.until_ns).ok_or(LeaseError::Out)?;
+        match self.position {
+            Some(position) if position.reaches(lease.position) => Ok(lease.until_ns),
+            other => {
+                let applied = other.map_or(0, |position| position.order);
+                Err(LeaseError::Behind { needed: lease.position.order, applied })
+            }
+        }
+    }
+
+    /// Takes the answer to a question for a lease that was asked at `asked_ns`.
+    pub fn answered(&mut self, asked_ns: Nanos, response: Response) -> Taken {
+        match response {
+            Response::Granted { for_ns, position, orders, .. } => {
+                let until_ns = asked_ns.saturating_add(for_ns);
+                // An answer that is overtaken by a later one takes nothing back.
+                if self
+                    .lease
+                    .is_none_or(|held| held.until_ns <= until_ns || held.position.log != position.log)
+                {
+                    self.lease = Some(Lease { until_ns, position });
+                }
+                self.orders(position.log, orders).map_or(Taken::Nothing, Taken::Orders)
+            }
+            Response::Fresh { position, withdrawn } => {
+                self.position = Some(position);
+                self.lease = None;
+                self.withdrawn = withdrawn.into_iter().collect();
+                Taken::Dropped
+            }
+            _ => Taken::Nothing,
+        }
+    }
+
+    /// Which of these orders are next: those applied already are passed over, a gap is refused.
+    pub fn orders(&mut self, log: u64, orders: Vec<Order>) -> Result<Vec<Order>, PurgeError> {
+        let Some(position) = self.position else { return Err(PurgeError::Gap { found: 0, applied: 0 }) };
+        if position.log != log {
+            return Err(PurgeError::Log { found: log, ours: position.log });
+        }
+        let mut next = Vec::new();
+        let mut applied = position.order;
+        for order in orders {
+            if order.number <= applied {
+                continue;
+            }
+            if order.number != applied + 1 {
+                return Err(PurgeError::Gap { found: order.number, applied });
+            }
+            applied = order.number;
+            next.push(order);
+        }
+        Ok(next)
+    }
+
+    /// An order was applied by whoever owns this: all that it withdrew is gone.
+    pub fn applied(&mut self, order: &Order) {
+        match &order.what {
+            What::Purge(_) => {}
+            What::Withdraw(version) => drop(self.withdrawn.insert(*version)),
+            What::Reinstate(version) => drop(self.withdrawn.remove(version)),
+        }
+        if let Some(position) = &mut self.position {
+            debug_assert_eq!(order.number, position.order + 1, "orders are applied without gaps");
+            position.order = order.number;
+        }
+    }
+}
--- /dev/null
+++ b/crates/lilacpitch-fleet/src/lib.rs
@@ -0,0 +1,74 @@
+//! The fleet: how many processes keep one another right, without I/O; time is an argument.
+//!
+//! - [`message`]: what crosses the links between processes; [`frame`]: how it is sealed and kept in order.
+//! - [`lease`] and [`holder`]: until when what is cached may be used, and up to which purge it is true.
+//! - [`relay`]: a process with others below it: grants leases, passes orders on, counts acknowledgements.
+//! - [`window`]: the orders kept for who missed some.
+//! - [`catalogue`]: summaries of sites, and which of them could hold a number; [`locate`]: one question to those.
+//! - [`asker`]: which process of a site gets a question and whether again: the module decides, as for calls.
+//! - [`cache`]: answers in shards, purged by order, never filled with what was read before a purge.
+//! - [`audit`]: who acted on which version, and when.
+//!
+//! Steady clocks only, in nanoseconds from anywhere, but for moments that people read: those are milliseconds
+//! since 1970 and decide nothing.
+//!
+//! **Order of locks**, in [`cache`] alone: a shard, then the list of recent purges. Never two shards.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod asker;
+pub mod audit;
+pub mod cache;
+pub mod catalogue;
+pub mod error;
+pub mod frame;
+pub mod holder;
+pub mod lease;
+pub mod locate;
+pub mod message;
+pub mod relay;
+pub mod window;
+
+/// A moment on a steady clock, or a span, in nanoseconds.
+pub type Nanos = u64;
+
+/// Guards that a test may switch off to see that the judge of the promises notices. Never off in a program.
+#[doc(hidden)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Guards {
+    /// Promise 1: a summary that is too old rules nothing out, and a process behind its site says so.
+    pub ages: bool,
+    /// Promise 2: who was not reached is named.
+    pub says: bool,
+    /// Promise 3: cached answers end with the lease.
+    pub leases: bool,
+    /// Promise 4: what was read before a purge fills nothing after it.
+    pub refills: bool,
+    /// Promise 5: acknowledgements are counted.
+    pub acknowledgements: bool,
+    /// Promise 6: stragglers get no lease.
+    pub stragglers: bool,
+    /// Promise 6: writes without a lease are refused.
+    pub fences: bool,
+    /// Promise 7: changes of version are recorded when they happen.
+    pub records: bool,
+    /// Promise 8: calls wait no longer than their share.
+    pub calls_first: bool,
+}
+
+impl Default for Guards {
+    fn default() -> Self {
+        let on = true;
+        Guards {
+            ages: on,
+            says: on,
+            leases: on,
+            refills: on,
+            acknowledgements: on,
+            stragglers: on,
+            fences: on,
+            records: on,
+            calls_first: on,
+        }
+    }
+}
--- /dev/null
+++ b/crates/lilacpitch-fleet/src/locate.rs
@@ -0,0 +1,143 @@
+//! One question to the sites that could answer it.
+
+use crate::catalogue::{Catalogue, Verdict};
+use crate::error::LocateError;
+use crate::{Guards, Nanos};
+use lilacpitch_register::{Key, Page, Query, Row};
+use std::collections::BTreeMap;
+
+/// Most rows of one answer.
+pub const MAX_LIMIT: usize = 1_000;
+
+/// What became of a site in a locate.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Site {
+    /// Its summary rules it out.
+    RuledOut {
+        /// The life of the process whose versions these are.
+        life: u64,
+        /// The version.
+        total: u64,
+        /// When it was asked for, by this process's steady clock.
+        as_of_ns: Nanos,
+    },
+    /// It was asked: this process answered with so many rows.
+    Asked {
+        /// The process.
+        process: String,
+        /// Its rows.
+        rows: usize,
+    },
+    /// It could not be asked.
+    NotReached(LocateError),
+}
+
+/// An answer: what was found, and what it rests on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answer {
+    /// The rows: in the order of keys.
+    pub rows: Vec<Row>,
+    /// What became of each site.
+    pub sites: BTreeMap<String, Site>,
+    /// Every site was asked or ruled out.
+    pub complete: bool,
+    /// There is more after this key.
+    pub cursor: Option<Key>,
+    /// It came from the cache.
+    pub cached: bool,
+}
+
+impl Answer {
+    /// The newest row: two sites may hold a number, and the later one is where it is.
+    pub fn newest(&self) -> Option<&Row> {
+        self.rows.iter().max_by_key(|row| (row.since_ms, &row.key))
+    }
+}
+
+/// A question that is out.
+#[derive(Debug)]
+pub struct Locate {
+    /// What is asked.
+    pub query: Query,
+    /// From behind this key on.
+    pub after: Option<Key>,
+    limit: usize,
+    guards: Guards,
+    sites: BTreeMap<String, Option<Site>>,
+    pages: Vec<Page>,
+    /// Everything that goes into the answer was read at this moment or later.
+    read_from_ns: Nanos,
+}
+
+impl Locate {
+    /// Begins a question; [`Locate::open`] tells the sites that are to be asked.
+    pub fn begin(
+        now: Nanos,
+        query: Query,
+        after: Option<Key>,
+        limit: usize,
+        of: &Catalogue,
+        guards: Guards,
+    ) -> Self {
+        let mut read_from_ns = now;
+        let mut sites = BTreeMap::new();
+        for (site, verdict) in of.judge(now, &query) {
+            let said = match verdict {
+                Verdict::RuledOut { life, total, as_of_ns } => {
+                    read_from_ns = read_from_ns.min(as_of_ns);
+                    Some(Site::RuledOut { life, total, as_of_ns })
+                }
+                Verdict::Could | Verdict::Unknown => None,
+            };
+            sites.insert(site.to_string(), said);
+        }
+        let limit = limit.clamp(1, MAX_LIMIT);
+        Locate { query, after, limit, guards, sites, pages: Vec::new(), read_from_ns }
+    }
+
+    /// Sites that have not answered.
+    pub fn open(&self) -> impl Iterator<Item = &str> {
+        self.sites.iter().filter(|(_, said)| said.is_none()).map(|(site, _)| site.as_str())
+    }
+
+    /// A site has answered, or could not be asked. Doubled and late answers change nothing.
+    pub fn answered(&mut self, site: &str, said: Result<(Page, String), LocateError>) {
+        let Some(open) = self.sites.get_mut(site).filter(|said| said.is_none()) else { return };
+        *open = Some(match said {
+            Ok((page, process)) => {
+                let rows = page.rows.len();
+                self.pages.push(page);
+                Site::Asked { process, rows }
+            }
+            Err(error) => Site::NotReached(error),
+        });
+    }
+
+    /// The moment from which on all of it was read: for [`crate::cache::Cache::fill`].
+    pub fn read_from_ns(&self) -> Nanos {
+        self.read_from_ns
+    }
+
+    /// The answer as far as it has come: what is open by now was not reached in time.
+    pub fn answer(self) -> Answer {
+        let late = || Site::NotReached(LocateError::Late);
+        let mut sites: BTreeMap<String, Site> =
+            self.sites.into_iter().map(|(site, said)| (site, said.unwrap_or_else(late))).collect();
+        if !self.guards.says {
+            sites.retain(|_, said| !matches!(said, Site::NotReached(_)));
+        }
+        let complete = !sites.values().any(|said| matches!(said, Site::NotReached(_)));
+        // Past the first cut of any site rows of it are missing.
+        let cut = self.pages.iter().filter_map(|page| page.cursor.clone()).min();
+        let mut rows: Vec<Row> = self.pages.into_iter().flat_map(|page| page.rows).collect();
+        rows.sort_unstable_by(|a, b| a.key.cmp(&b.key));
+        rows.dedup_by(|a, b| a.key == b.key);
+        if let Some(cut) = &cut {
+            rows.retain(|row| row.key <= *cut);
+        }
+        let over = rows.len() > self.limit;
+        rows.truncate(self.limit);
+        let cursor = rows.last().map(|row| row.key.clone()).filter(|_| over || cut.is_some());
+        Answer { rows, sites, complete, cursor, cached: false }
+    }
+}
--- /dev/null
+++ b/crates/lilacpitch-fleet/src/message.rs
@@ -0,0 +1,329 @@
+//! What crosses the links between processes of the fleet, as `postcard` writes it.
+
+use crate::audit::Record;
+use lilacpitch_register::{Key, Number, Page, Query, Row, ShardNews};
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+/// The version of everything here.
+pub const VERSION: u16 = 1;
+/// Most orders in one message.
+pub const MAX_ORDERS: usize = 512;
+/// Most scopes of one order.
+pub const MAX_SCOPES: usize = 1_024;
+/// Most rows in one message.
+pub const MAX_ROWS: usize = 1_024;
+/// Most names in a list of who is missing; the number of all stands beside.
+pub const MAX_NAMES: usize = 32;
+
+/// Who speaks.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Role {
+    /// A front: holds cached answers.
+    Front,
+    /// A process of a site, by the site's name and its place there.
+    Process(String, u32),
+}
+
+/// The first message of both ends of a connection.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hello {
+    /// [`VERSION`].
+    pub version: u16,
+    /// The process's name: one of a kind.
+    pub name: String,
+    /// When this life of it began, in nanoseconds since 1970.
+    pub life: u64,
+    /// What it is.
+    pub role: Role,
+    /// Drawn for this connection: what it is sent names it.
+    pub nonce: u64,
+}
+
+/// A place in the log of orders.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Hash, Serialize, Deserialize)]
+pub struct Position {
+    /// The log: another one begins when a root site has lost orders.
+    pub log: u64,
+    /// The number of the last order, from 1; 0: none yet.
+    pub order: u64,
+}
+
+impl Position {
+    /// Whether everything up to `other` is known here. Never across logs.
+    pub fn reaches(self, other: Position) -> bool {
+        self.log == other.log && self.order >= other.order
+    }
+}
+
+impl fmt::Display for Position {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}/{}", self.log, self.order)
+    }
+}
+
+/// What a purge withdraws.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Scope {
+    /// All answers about one number.
+    Number(Number),
+    /// About all that begin so.
+    Prefix(String),
+    /// That name this front or server.
+    Holder(String),
+    /// All.
+    All,
+}
+
+/// What is ordered.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum What {
+    /// Forget cached answers.
+    Purge(Vec<Scope>),
+    /// No longer act on this settings version.
+    Withdraw(u64),
+    /// It is in force again.
+    Reinstate(u64),
+}
+
+/// An order, by its place in the log.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Order {
+    /// Its number, without gaps.
+    pub number: u64,
+    /// What is ordered.
+    pub what: What,
+}
+
+/// A row entered or withdrawn.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RowChange {
+    /// Entered, or in place of one with its key.
+    Put(Row),
+    /// Withdrawn.
+    Withdraw(Key),
+}
+
+/// What a router has of a site's summary.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Known {
+    /// The site.
+    pub site: String,
+    /// The life of the process whose versions these are.
+    pub life: u64,
+    /// The version of each shard; empty: only whether anything is newer than `total` is asked.
+    pub shards: Vec<u64>,
+    /// The sum of the versions of all shards.
+    pub total: u64,
+}
+
+/// Numbers that changed at a site and whose purge is not ordered yet, by hash.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Pending {
+    /// These.
+    Some(Vec<u64>),
+    /// More than are named.
+    Many,
+}
+
+/// News of a site's summary.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SiteNews {
+    /// The site.
+    pub site: String,
+    /// Whose versions these are.
+    pub life: u64,
+    /// How many shards it has.
+    pub shards: u32,
+    /// The sum of their versions once this is taken.
+    pub total: u64,
+    /// How old all of this is, at the moment it is said.
+    pub age_ns: u64,
+    /// Changes without an order.
+    pub pending: Pending,
+    /// The last order that came of its changes.
+    pub ordered: Position,
+    /// What is new, of the shards whose versions were named.
+    pub news: Vec<ShardNews>,
+    /// There is more: ask again.
+    pub more: bool,
+}
+
+/// What one process asks of another.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Request {
+    /// A holder asks the process above for its lease, and says how far it has applied orders.
+    Renew(Option<Position>),
+    /// A relay says up to which order all below it have acknowledged or are out, and who is not.
+    Sum {
+        /// Up to here.
+        upto: Position,
+        /// Some of those that are missing.
+        missing: Vec<String>,
+        /// How many are.
+        missing_count: u32,
+    },
+    /// A holder has dropped what it cached, and leaves.
+    Leave,
+    /// Orders, from above.
+    Orders {
+        /// Their log.
+        log: u64,
+        /// In their order, without gaps.
+        orders: Vec<Order>,
+    },
+    /// To the root: order this.
+    Submit(What),
+    /// To the root: how far are the purges?
+    Progress,
+    /// To the root: what fronts say of themselves.
+    Audit(Vec<Record>),
+    /// To the home site: rows of this front.
+    Write(Vec<RowChange>),
+    /// Rows that match.
+    Find {
+        /// The question.
+        query: Query,
+        /// From behind this key on.
+        after: Option<Key>,
+        /// At most so many rows.
+        limit: u32,
+        /// A call waits for it.
+        urgent: bool,
+    },
+    /// What is newer than this of the summaries of all sites that are not below the one who asks.
+    Summaries(Vec<Known>),
+    /// Within a site: up to which entry of its log must be applied before a read.
+    ReadIndex,
+    /// Within a site: for its leader, on behalf of the front or process named, by name and life.
+    Forwarded(String, u64, Box<Request>),
+    /// Within a site: a message of its replicated log.
+    Log(LogMessage),
+}
+
+/// A message of a site's replicated log, in the log library's own form.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum LogMessage {
+    /// Entries.
+    Append(Vec<u8>),
+    /// A vote.
+    Vote(Vec<u8>),
+    /// A part of a snapshot.
+    Snapshot(Vec<u8>),
+}
+
+/// What a process answers.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Response {
+    /// A lease from the moment of asking on.
+    Granted {
+        /// For so long, by the holder's steady clock.
+        for_ns: u64,
+        /// Once everything up to here is applied.
+        position: Position,
+        /// Some of what is missing until then.
+        orders: Vec<Order>,
+        /// The register of this site: another one has none of the rows written before.
+        register: u64,
+    },
+    /// What is missing is no longer kept: drop all that is cached, take this position, ask again.
+    Fresh {
+        /// The position to take.
+        position: Position,
+        /// Settings versions that are withdrawn there.
+        withdrawn: Vec<u64>,
+    },
+    /// The holder of orders has applied them up to here.
+    Applied(Position),
+    /// Ordered.
+    Ordered(Position),
+    /// How far purges are.
+    Progress {
+        /// The last order.
+        ordered: Position,
+        /// Complete up to here: no process serves what these withdrew.
+        complete: u64,
+        /// Some who are missing.
+        missing: Vec<String>,
+        /// How many are.
+        missing_count: u32,
+    },
+    /// Written, and durable.
+    Written,
+    /// What was found, and by which process.
+    Found {
+        /// The rows.
+        page: Page,
+        /// The process.
+        process: String,
+    },
+    /// News of summaries.
+    Summaries(Vec<SiteNews>),
+    /// Up to this entry.
+    ReadIndex(u64),
+    /// An answer of the log library, or its error, in its own form.
+    Log(Result<Vec<u8>, Vec<u8>>),
+    /// Done.
+    Done,
+    /// Not done.
+    Refused(Refusal),
+}
+
+/// Why a process did not do what it was asked for.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Refusal {
+    /// Too much at once: stay away for so long.
+    Full {
+        /// In milliseconds.
+        wait_ms: u32,
+    },
+    /// It lags behind what its site has acknowledged, or can't tell.
+    Behind,
+    /// It has no lease of its own to grant from.
+    NoLease,
+    /// A later life of this name is known.
+    Superseded,
+    /// No lease of this site's: what is written is not taken.
+    Fenced,
+    /// Too far behind for a lease: the missing orders come by themselves.
+    Straggler,
+    /// The holder knows later orders of this log than are here.
+    Ahead,
+    /// No process of the site leads.
+    NoLeader,
+    /// Not a thing to ask this process.
+    Unwanted,
+    /// Malformed: what of it.
+    Malformed(String),
+    /// The log or its disk failed.
+    Failed(String),
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Refusal::Full { wait_ms } => write!(f, "full, for {wait_ms} ms"),
+            Refusal::Behind => f.write_str("behind its site"),
+            Refusal::NoLease => f.write_str("no lease of its own"),
+            Refusal::Superseded => f.write_str("a later life is known"),
+            Refusal::Fenced => f.write_str("fenced: no lease here"),
+            Refusal::Straggler => f.write_str("too far behind"),
+            Refusal::Ahead => f.write_str("ahead of the log"),
+            Refusal::NoLeader => f.write_str("no process leads"),
+            Refusal::Unwanted => f.write_str("not to be asked here"),
+            Refusal::Malformed(what) => write!(f, "malformed: {what}"),
+            Refusal::Failed(what) => write!(f, "failed: {what}"),
+        }
+    }
+}
+
+/// What a frame holds.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Body {
+    /// The first of each end.
+    Hello(Hello),
+    /// A question, by a number of the asker's.
+    Ask(u64, Request),
+    /// The answer to the question of that number.
+    Answer(u64, Response),
+}
--- /dev/null
+++ b/crates/lilacpitch-fleet/src/relay.rs
@@ -0,0 +1,253 @@
+//! A process with others below it: it grants them leases, passes orders on, and counts what they acknowledge.
+//!
+//! The root's leader is the origin: it may grant while its leadership is confirmed. Every other process of a site is
+//! a holder of the one above and grants no longer than its own lease runs. What a child acknowledged counts for that
+//! life of it; a life is out once its lease has surely run out, be it dead, cut off, or superseded by a later one.
+
+use crate::lease::Terms;
+use crate::message::{Order, Position, Refusal, Response, What, MAX_NAMES, MAX_ORDERS};
+use crate::window::Window;
+use crate::{Guards, Nanos};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// Children whose lives are over are forgotten this long after their leases.
+const FORGET_NS: Nanos = 600_000_000_000;
+
+/// A holder below, in one of its lives.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ChildId {
+    /// Its name.
+    pub name: String,
+    /// That life, in nanoseconds since 1970.
+    pub life: u64,
+}
+
+#[derive(Debug)]
+struct Child {
+    /// A front answers for itself, a process for all below it.
+    is_front: bool,
+    applied: Position,
+    sum: Position,
+    /// Its lease has surely run out from then on.
+    in_until_ns: Nanos,
+    missing: Vec<String>,
+    missing_count: u32,
+}
+
+/// How far purges are below a process.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Sum {
+    /// All below have acknowledged up to here, or are out.
+    pub upto: Position,
+    /// Some who have not acknowledged all there is.
+    pub missing: Vec<String>,
+    /// How many have not.
+    pub missing_count: u32,
+}
+
+/// The children of a process and what they have acknowledged.
+#[derive(Debug)]
+pub struct Relay {
+    terms: Terms,
+    guards: Guards,
+    window: Window,
+    /// When orders came here, newest last: those of the last straggler span.
+    came: VecDeque<(u64, Nanos)>,
+    children: BTreeMap<ChildId, Child>,
+    own_until_ns: Nanos,
+    own_needs: Position,
+    /// Until then holders of a former origin may be unknown here.
+    quiet_until_ns: Nanos,
+    complete: u64,
+}
+
+impl Relay {
+    /// Without children, orders or a lease.
+    pub fn new(terms: Terms, guards: Guards) -> Self {
+        Relay {
+            terms,
+            guards,
+            window: Window::default(),
+            came: VecDeque::new(),
+            children: BTreeMap::new(),
+            own_until_ns: 0,
+            own_needs: Position::default(),
+            quiet_until_ns: 0,
+            complete: 0,
+        }
+    }
+
+    /// The last order here.
+    pub fn position(&self) -> Position {
+        self.window.position()
+    }
+
+    /// Settings versions that are withdrawn.
+    pub fn withdrawn(&self) -> &BTreeSet<u64> {
+        self.window.withdrawn()
+    }
+
+    /// This process may grant until then, once it has applied everything up to a position.
+    pub fn may_grant(&mut self, until_ns: Nanos, needs: Position) {
+        (self.own_until_ns, self.own_needs) = (until_ns, needs);
+    }
+
+    /// This process has just become the origin: holders of a former one may live on leases of its own.
+    pub fn became_origin(&mut self, now: Nanos) {
+        self.quiet_until_ns = now + self.terms.outlasts(self.terms.lease_ns);
+    }
+
+    /// All orders up to there are taken from elsewhere at once.
+    pub fn reset(&mut self, window: Window) {
+        if window.position().log != self.window.position().log {
+            self.complete = 0;
+        }
+        self.window = window;
+        self.came.clear();
+    }
+
+    /// The next order is there.
+    pub fn ordered(&mut self, now: Nanos, what: What) -> Position {
+        let position = self.window.append(what);
+        self.came.push_back((position.order, now));
+        while self.came.front().is_some_and(|(_, at)| now.saturating_sub(*at) > 2 * self.terms.straggler_ns) {
+            self.came.pop_front();
+        }
+        position
+    }
+
+    /// The last order that is old enough for everybody to have applied it.
+    fn due(&self, now: Nanos) -> u64 {
+        let young = self.came.iter().find(|(_, at)| now.saturating_sub(*at) <= self.terms.straggler_ns);
+        young.map_or(self.position().order, |(order, _)| order - 1)
+    }
+
+    /// Whether this process may grant at all now.
+    fn has_lease(&self, now: Nanos) -> bool {
+        now < self.own_until_ns && self.position().reaches(self.own_needs)
+    }
+
+    /// A child asks for its lease.
+    pub fn renew(
+        &mut self,
+        now: Nanos,
+        who: &ChildId,
+        is_front: bool,
+        applied: Option<Position>,
+        register: u64,
+    ) -> Response {
+        if self.is_superseded(who) {
+            return Response::Refused(Refusal::Superseded);
+        }
+        if !self.has_lease(now) {
+            return Response::Refused(Refusal::NoLease);
+        }
+        let position = self.position();
+        let fresh = Response::Fresh { position, withdrawn: self.withdrawn().iter().copied().collect() };
+        let Some(applied) = applied.filter(|applied| applied.log == position.log) else { return fresh };
+        if applied.order > position.order {
+            return Response::Refused(Refusal::Ahead);
+        }
+        let Some(orders) = self.window.after(applied.order, MAX_ORDERS) else { return fresh };
+        let straggles = self.guards.stragglers && applied.order < self.due(now);
+        let for_ns =
+            if straggles { 0 } else { self.terms.lease_ns.min(self.own_until_ns.saturating_sub(now)) };
+        let in_until_ns = now + self.terms.outlasts(for_ns);
+        let child = self.children.entry(who.clone()).or_insert_with(|| Child {
+            is_front,
+            applied,
+            sum: Position::default(),
+            in_until_ns: 0,
+            missing: Vec::new(),
+            missing_count: 0,
+        });
+        // Its own word of this life, and never of what it was only sent.
+        child.applied = applied;
+        if for_ns > 0 {
+            child.in_until_ns = child.in_until_ns.max(in_until_ns);
+        }
+        Response::Granted { for_ns, position, orders, register }
+    }
+
+    fn is_superseded(&self, who: &ChildId) -> bool {
+        let after = ChildId { name: who.name.clone(), life: who.life.saturating_add(1) };
+        self.children.range(after..).next().is_some_and(|(id, _)| id.name == who.name)
+    }
+
+    /// A child has applied orders up to there.
+    pub fn applied(&mut self, who: &ChildId, upto: Position) {
+        if let Some(child) = self.children.get_mut(who).filter(|_| upto.log == self.window.position().log) {
+            child.applied = upto;
+        }
+    }
+
+    /// A relay below says how far all below it are.
+    pub fn summed(&mut self, who: &ChildId, sum: Sum) {
+        if let Some(child) = self.children.get_mut(who) {
+            child.sum = sum.upto;
+            child.missing = sum.missing;
+            child.missing_count = sum.missing_count;
+        }
+    }
+
+    /// A child has dropped what it cached, and is out at once.
+    pub fn left(&mut self, who: &ChildId) {
+        self.children.remove(who);
+    }
+
+    /// Whether a child holds a lease of this process's, and no later life of it is known: its writes are taken.
+    pub fn holds(&self, now: Nanos, who: &ChildId) -> bool {
+        let held = self.children.get(who).is_some_and(|child| now < child.in_until_ns);
+        (held && !self.is_superseded(who)) || !self.guards.fences
+    }
+
+    /// Children that may live, with what each has applied.
+    pub fn children(&self, now: Nanos) -> impl Iterator<Item = (&ChildId, Position)> {
+        self.children.iter().filter(move |(_, child)| now < child.in_until_ns).map(|(id, c)| (id, c.applied))
+    }
+
+    /// Up to so many of the orders that a child lacks.
+    pub fn missing_orders(&self, applied: Position) -> Vec<Order> {
+        let same = applied.log == self.position().log;
+        self.window.after(applied.order, MAX_ORDERS).filter(|_| same).unwrap_or_default()
+    }
+
+    /// How far purges are below, now.
+    pub fn sum(&mut self, now: Nanos) -> Sum {
+        let position = self.position();
+        let over =
+            |child: &Child| now.saturating_sub(child.in_until_ns) > FORGET_NS && now > child.in_until_ns;
+        self.children.retain(|_, child| !over(child));
+        let (mut upto, mut missing, mut missing_count) = (position.order, Vec::new(), 0);
+        let counted = self.children.iter().filter(|(_, child)| now < child.in_until_ns);
+        for (id, child) in counted.filter(|_| self.guards.acknowledgements) {
+            let acked = if child.is_front { child.applied } else { child.sum };
+            let acked = if acked.log == position.log { acked.order } else { 0 };
+            if acked < position.order {
+                upto = upto.min(acked);
+                let below = child.missing_count > 0;
+                missing_count += if below { child.missing_count } else { 1 };
+                if below {
+                    missing.extend(child.missing.iter().cloned());
+                } else {
+                    missing.push(id.name.clone());
+                }
+            }
+        }
+        missing.truncate(MAX_NAMES);
+        if now < self.quiet_until_ns {
+            upto = upto.min(self.complete);
+            if missing.is_empty() && self.complete < position.order {
+                (missing, missing_count) = (vec!["holders of a former leader".into()], 1);
+            }
+        }
+        self.complete = self.complete.max(upto);
+        Sum { upto: Position { order: self.complete, ..position }, missing, missing_count }
+    }
+
+    /// When a lease runs out next that a sum may wait for.
+    pub fn next_ns(&self, now: Nanos) -> Option<Nanos> {
+        let ends = self.children.values().map(|child| child.in_until_ns).chain([self.quiet_until_ns]);
+        ends.filter(|at| *at > now).min()
+    }
+}
--- /dev/null
+++ b/crates/lilacpitch-fleet/src/window.rs
@@ -0,0 +1,55 @@
+//! The last orders of a log, kept for who missed some.
+
+use crate::message::{Order, Position, What};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeSet, VecDeque};
+
+/// Orders that are kept; who missed more starts afresh.
+pub const KEPT: usize = 16_384;
+
+/// The last orders, and what is withdrawn at their end.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Window {
+    position: Position,
+    orders: VecDeque<Order>,
+    withdrawn: BTreeSet<u64>,
+}
+
+impl Window {
+    /// Of which nothing is kept before `position`.
+    pub fn at(position: Position, withdrawn: BTreeSet<u64>) -> Self {
+        Window { position, orders: VecDeque::new(), withdrawn }
+    }
+
+    /// The last order.
+    pub fn position(&self) -> Position {
+        self.position
+    }
+
+    /// Settings versions that are withdrawn.
+    pub fn withdrawn(&self) -> &BTreeSet<u64> {
+        &self.withdrawn
+    }
+
+    /// Gives what is ordered the next number.
+    pub fn append(&mut self, what: What) -> Position {
+        match &what {
+            What::Purge(_) => {}
+            What::Withdraw(version) => drop(self.withdrawn.insert(*version)),
+            What::Reinstate(version) => drop(self.withdrawn.remove(version)),
+        }
+        self.position.order += 1;
+        self.orders.push_back(Order { number: self.position.order, what });
+        if self.orders.len() > KEPT {
+            self.orders.pop_front();
+        }
+        self.position
+    }
+
+    /// Up to `most` of the orders after one; `None`: some of them are no longer kept, or it is of the future.
+    pub fn after(&self, order: u64, most: usize) -> Option<Vec<Order>> {
+        let lacks = self.position.order.checked_sub(order)? as usize;
+        let from = self.orders.len().checked_sub(lacks)?;
+        Some(self.orders.range(from..).take(most).cloned().collect())
+    }
+}
--- /dev/null
+++ b/crates/lilacpitch-link/tests/links.rs
@@ -0,0 +1,110 @@
+//! Two ends of a link over loopback: questions both ways, a stranger's key, rubbish, doubled bytes, silence.
+
+use lilacpitch_fleet::message::*;
+use lilacpitch_link::*;
+use lilacpitch_peers::Keys;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+const SOON: Duration = Duration::from_secs(10);
+
+struct Echo;
+
+impl Serve for Echo {
+    fn serve(self: Arc<Self>, from: Arc<Link>, ask: Request) -> Served {
+        Box::pin(async move {
+            match ask {
+                // Asks back over the same link before it answers.
+                Request::Progress => from.ask(Request::ReadIndex, SOON).await.unwrap(),
+                Request::ReadIndex => Response::ReadIndex(from.peer.life),
+                Request::Leave => std::future::pending().await,
+                _ => Response::Refused(Refusal::Unwanted),
+            }
+        })
+    }
+}
+
+fn me(name: &str, life: u64, key: u8) -> Me {
+    Me { name: name.into(), life, role: Role::Front, keys: Keys::from_bytes([key; 32]) }
+}
+
+async fn pair(key: u8) -> (Result<Arc<Link>, LinkError>, Result<Arc<Link>, LinkError>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (there, here) = (me("b", 2, key), me("a", 1, 1));
+    let accepted = async { accept(listener.accept().await.unwrap().0, &there, Arc::new(Echo), SOON).await };
+    tokio::join!(connect(address, &here, Arc::new(Echo), SOON), accepted)
+}
+
+#[tokio::test]
+async fn both_ends_ask_and_answer_over_one_connection() {
+    let (a, b) = pair(1).await;
+    let (a, b) = (a.unwrap(), b.unwrap());
+    assert_eq!((a.peer.name.as_str(), b.peer.name.as_str()), ("b", "a"));
+    assert_eq!(a.ask(Request::Progress, SOON).await.unwrap(), Response::ReadIndex(2));
+    assert_eq!(b.ask(Request::ReadIndex, SOON).await.unwrap(), Response::ReadIndex(2));
+}
+
+#[tokio::test]
+async fn a_stranger_is_refused_and_an_end_ends_what_waits() {
+    let (a, b) = pair(9).await;
+    assert!(matches!(a, Err(LinkError::Frame(_) | LinkError::Greeting(_))));
+    assert!(matches!(b, Err(LinkError::Frame(_) | LinkError::Greeting(_))));
+    let (a, b) = pair(1).await;
+    let (a, b) = (a.unwrap(), b.unwrap());
+    let asking = a.ask(Request::Leave, SOON);
+    let ending = async {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        b.close();
+    };
+    let (asked, ()) = tokio::join!(asking, ending);
+    assert!(matches!(asked, Err(LinkError::Closed)));
+    let late = pair(1).await.0.unwrap().ask(Request::Leave, Duration::from_millis(50)).await;
+    assert!(matches!(late, Err(LinkError::Late)));
+}
+
+#[tokio::test]
+async fn doubled_and_damaged_frames_end_their_connection_alone() {
+    // Between the two a relay that passes one way as it is, and says the other way's second frame twice.
+    for damage in [false, true] {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let relay = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let (to, via) = (listener.local_addr().unwrap(), relay.local_addr().unwrap());
+        tokio::spawn(async move {
+            let (mut near, mut far) =
+                (relay.accept().await.unwrap().0, TcpStream::connect(to).await.unwrap());
+            let ((mut nr, mut nw), (mut fr, mut fw)) = (near.split(), far.split());
+            let forth = async {
+                for frame in 0.. {
+                    let length = nr.read_u32().await.unwrap_or(0);
+                    let mut bytes = vec![0; length as usize];
+                    if length == 0 || nr.read_exact(&mut bytes).await.is_err() {
+                        return;
+                    }
+                    if frame == 1 && damage {
+                        bytes[30] ^= 1;
+                    }
+                    for _ in 0..if frame == 1 && !damage { 2 } else { 1 } {
+                        if fw.write_u32(length).await.is_err() || fw.write_all(&bytes).await.is_err() {
+                            return;
+                        }
+                    }
+                }
+            };
+            tokio::join!(forth, async { drop(tokio::io::copy(&mut fr, &mut nw).await) });
+        });
+        let (here, there) = (me("a", 1, 1), me("b", 2, 1));
+        let accepted =
+            async { accept(listener.accept().await.unwrap().0, &there, Arc::new(Echo), SOON).await };
+        let (a, b) = tokio::join!(connect(via, &here, Arc::new(Echo), SOON), accepted);
+        let (a, b) = (a.unwrap(), b.unwrap());
+        let _ = a.ask(Request::ReadIndex, Duration::from_millis(500)).await;
+        tokio::time::timeout(SOON, b.ended())
+            .await
+            .expect("the end that was told twice, or rubbish, ends it");
+        let (c, _d) = pair(1).await;
+        assert!(c.unwrap().ask(Request::ReadIndex, SOON).await.is_ok(), "others go on");
+    }
+}
--- a/crates/lilacpitch-peers/src/seal.rs
+++ b/crates/lilacpitch-peers/src/seal.rs
@@ -104,13 +104,27 @@
     /// Seals with the first key. The nonce must be random: it is never counted.
     pub fn seal(&self, plain: &[u8], nonce: [u8; NONCE_BYTES]) -> Vec<u8> {
         let mut out = vec![VERSION];
-        out.extend(nonce);
-        let payload = Payload { msg: plain, aad: &[VERSION] };
+        out.extend(self.seal_for(&[VERSION], plain, nonce));
+        out
+    }
+
+    /// Seals for a purpose: what is sealed for one does not open for another.
+    pub fn seal_for(&self, purpose: &[u8], plain: &[u8], nonce: [u8; NONCE_BYTES]) -> Vec<u8> {
+        let payload = Payload { msg: plain, aad: purpose };
+        let mut out = nonce.to_vec();
         // Fails past 256 GiB only.
         out.extend(self.0[0].encrypt(XNonce::from_slice(&nonce), payload).unwrap_or_default());
         out
     }
 
+    /// Opens what was sealed for this purpose, with whichever key fits.
+    pub fn open_for(&self, purpose: &[u8], bytes: &[u8]) -> Result<Vec<u8>, Refused> {
+        let (nonce, sealed) = bytes.split_at_checked(NONCE_BYTES).ok_or(Refused::TooShort)?;
+        let payload = |_| Payload { msg: sealed, aad: purpose };
+        let mut open = self.0.iter().map(|key| key.decrypt(XNonce::from_slice(nonce), payload(())));
+        open.find_map(Result::ok).ok_or(Refused::Forged)
+    }
+
     /// Opens with whichever key fits.
     pub fn open(&self, bytes: &[u8]) -> Result<Vec<u8>, Refused> {
         if bytes.len() > MAX_DATAGRAM_BYTES {
@@ -125,10 +139,7 @@
         if bytes.len() < OVERHEAD_BYTES {
             return Err(Refused::TooShort);
         }
-        let (nonce, sealed) = bytes[1..].split_at(NONCE_BYTES);
-        let payload = |_| Payload { msg: sealed, aad: &[VERSION] };
-        let mut open = self.0.iter().map(|key| key.decrypt(XNonce::from_slice(nonce), payload(())));
-        open.find_map(Result::ok).ok_or(Refused::Forged)
+        self.open_for(&[VERSION], &bytes[1..])
     }
 }
 
--- a/crates/lilacpitch-register/src/register.rs
+++ b/crates/lilacpitch-register/src/register.rs
@@ -156,6 +156,11 @@
         Ok(())
     }
 
+    /// The versions of the summaries of all shards.
+    pub fn versions(&self) -> Vec<u64> {
+        self.shards.iter().map(|shard| shard.read().changes.version).collect()
+    }
+
     /// What a router lacks of a shard's summary that has the version `known` of it.
     pub fn summary(&self, shard: usize, known: Option<u64>) -> Option<ShardNews> {
         let at = self.shards.get(shard)?;
--- a/crates/lilacpitch-register/src/summary.rs
+++ b/crates/lilacpitch-register/src/summary.rs
@@ -15,7 +15,7 @@
     hash as u32
 }
 
-/// The writer's side of a shard's summary: what was added since the base, numbered.
+/// A shard's summary as it crosses links: a base, and what was added since, numbered.
 #[derive(Debug, Clone, Default)]
 pub struct Changes {
     /// The newest version: it grows by one with each number added.
@@ -83,44 +83,56 @@
     pub added: Vec<u32>,
 }
 
-/// The router's side: a shard's summary as last heard.
+/// The router's side: a shard's summary as last heard, to be judged by and to be passed on.
 #[derive(Debug, Clone, Default)]
 pub struct ShardSummary {
-    version: u64,
+    heard: Changes,
+    /// The base, decoded.
     base: Vec<u32>,
-    added: BTreeSet<u32>,
+    late: BTreeSet<u32>,
 }
 
 impl ShardSummary {
     /// The version it is of.
     pub fn version(&self) -> u64 {
-        self.version
+        self.heard.version
+    }
+
+    /// What another router lacks, as [`Changes::since`].
+    pub fn since(&self, shard: u32, known: Option<u64>) -> Option<ShardNews> {
+        self.heard.since(shard, known)
     }
 
     /// Takes news that was asked for with [`ShardSummary::version`].
     pub fn take(&mut self, news: &ShardNews) -> Result<(), RegisterError> {
+        let wrong = |what| RegisterError::Summary { shard: news.shard, what };
+        let added = news.added.len() as u64;
         if let Some((count, bytes)) = &news.base {
-            let values = gcs::read(bytes, *count as usize);
-            let what = "its bits are not the values it names";
-            self.base = values.ok_or(RegisterError::Summary { shard: news.shard, what })?;
-            self.added.clear();
-        } else if news.version.checked_sub(self.version) != Some(news.added.len() as u64) {
-            let what = "changes that do not follow on what is known";
-            return Err(RegisterError::Summary { shard: news.shard, what });
+            let base = gcs::read(bytes, *count as usize);
+            self.base = base.ok_or(wrong("its bits are not the values it names"))?;
+            let base_version = news.version.checked_sub(added).ok_or(wrong("more changes than versions"))?;
+            self.heard.base_version = base_version;
+            self.heard.base = bytes.clone();
+            self.heard.base_count = *count as usize;
+            self.heard.added.clear();
+            self.late.clear();
+        } else if news.version.checked_sub(self.version()) != Some(added) {
+            return Err(wrong("changes that do not follow on what is known"));
         }
-        self.added.extend(&news.added);
-        self.version = news.version;
+        self.heard.added.extend(&news.added);
+        self.heard.version = news.version;
+        self.late.extend(&news.added);
         Ok(())
     }
 
     /// Whether a number of this fingerprint could have a row. Never false for one that had one at its moment.
     pub fn could(&self, fingerprint: u32) -> bool {
         let value = gcs::scaled(fingerprint, self.base.len());
-        self.added.contains(&fingerprint) || self.base.binary_search(&value).is_ok()
+        self.late.contains(&fingerprint) || self.base.binary_search(&value).is_ok()
     }
 
-    /// Whether this very number was added since the base: it has changed of late.
-    pub fn added_of_late(&self, fingerprint: u32) -> bool {
-        self.added.contains(&fingerprint)
+    /// What it takes on a link, in bytes: the base and each change.
+    pub fn bytes(&self) -> usize {
+        self.heard.base.len() + 4 * self.heard.added.len()
     }
 }
