--- a/crates/lilacpitch-config/src/edge.rs
+++ b/crates/lilacpitch-config/src/edge.rs
@@ -1,12 +1,13 @@
 //! The settings of `lilacpitch-edge`, as `edge.cue` beside this file states them.
 
+use crate::fleet::FleetOf;
 use crate::{de_duration, load, load_text, ConfigError, Loaded, Schema};
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::Path;
 
 /// The text of the schema of settings and pool lists.
-pub const EDGE_SCHEMA: &str = include_str!("schema/edge.cue");
+pub const EDGE_SCHEMA: &str = concat!(include_str!("schema/edge.cue"), include_str!("schema/fleet.cue"));
 
 pub(crate) fn schema() -> Result<Schema, ConfigError> {
     Schema::new("edge.cue", EDGE_SCHEMA)
@@ -30,6 +31,9 @@
     pub pools: Vec<String>,
     /// Other fronts.
     pub peers: Option<PeersOf>,
+    /// The fleet's register.
+    #[serde(default)]
+    pub fleet: Option<FleetOf>,
     /// Classes of calls, in the order that gives them their numbers.
     pub classes: Vec<Class>,
     /// Figures of the rules.
@@ -168,6 +172,9 @@
             if let Some(peers) = &mut loaded.value.peers {
                 peers.key_file = folder.join(&peers.key_file).display().to_string();
             }
+            if let Some(fleet) = &mut loaded.value.fleet {
+                fleet.key_file = folder.join(&fleet.key_file).display().to_string();
+            }
         }
         Ok(loaded)
     }
@@ -199,6 +206,9 @@
             return Err(loaded.error_at("peers.listen", why));
         }
     }
+    if let Some(fleet) = &edge.fleet {
+        fleet.check("fleet.").map_err(|(path, what)| loaded.error_at(&path, what))?;
+    }
     let spans = [
         ("look_at_pool_list_every", edge.look_ns),
         ("rules.cold_span", edge.rules.cold_span_ns),
--- a/crates/lilacpitch-config/src/lib.rs
+++ b/crates/lilacpitch-config/src/lib.rs
@@ -22,14 +22,16 @@
 mod edge;
 mod error;
 mod eval;
+mod fleet;
 mod lexer;
 mod parser;
 mod pools;
 mod unify;
 mod value;
 
-pub use edge::{Class, Edge, Limits, LogFormat, PeersOf, Rules, Timing, EDGE_SCHEMA};
+pub use edge::{Class, Edge, Limits, Log, LogFormat, PeersOf, Rules, Timing, EDGE_SCHEMA};
 pub use error::{ConfigError, Problem};
+pub use fleet::{FleetOf, Site, SiteAt, Terms};
 pub use pools::{Pools, Server, ServerState};
 
 use serde::de::DeserializeOwned;
--- a/crates/lilacpitch-config/src/schema/edge.cue
+++ b/crates/lilacpitch-config/src/schema/edge.cue
@@ -1,4 +1,4 @@
-// Settings of lilacpitch-edge. Spans are a number and a unit: ns, us, ms, s, m or h.
+// Settings of lilacpitch. Spans are a number and a unit: ns, us, ms, s, m or h.
 
 #Span: =~"^[0-9]+(\\.[0-9]+)?(ns|us|ms|s|m|h)$"
 // A name in messages: visible ASCII, without the slash that joins names to labels.
@@ -37,6 +37,9 @@
 	// Other fronts of the installation: left out, this front knows of none.
 	peers?: #PeersOf
 
+	// The fleet's register: left out, this front opens no socket and starts no thread for it.
+	fleet?: #FleetOf
+
 	classes: [#Class, ...#Class]
 
 	rules: {
@@ -79,10 +82,12 @@
 		queue: *1024 | int & >=8 & <=65536
 	}
 
-	log: {
-		level:  *"info" | "error" | "warn" | "debug" | "trace"
-		format: *"text" | "json"
-	}
+	log: #Log
+}
+
+#Log: {
+	level:  *"info" | "error" | "warn" | "debug" | "trace"
+	format: *"text" | "json"
 }
 
 #PeersOf: {
--- a/crates/lilacpitch-config/tests/settings.rs
+++ b/crates/lilacpitch-config/tests/settings.rs
@@ -202,3 +202,39 @@
     let deep = format!("a: {}1", "[".repeat(10_000));
     assert!(Edge::from_text("f", &deep).err().unwrap().to_string().contains("nested deeper than 64"));
 }
+
+const SITE: &str = r#"name: "root-0"
+site: "root"
+place: 0
+listen: "127.0.0.1:7100"
+data: "data"
+key_file: "key"
+sites: [
+	{name: "root", processes: ["127.0.0.1:7100"]},
+	{name: "leaf", parent: "root", processes: ["127.0.0.1:7101"]},
+]
+"#;
+
+#[test]
+fn sites_are_taken_with_their_defaults_and_their_mistakes_are_told() {
+    let site = Site::from_text("site.cue", SITE).unwrap().value;
+    assert_eq!((site.terms.lease_ns, site.shards, site.sites.len()), (3_000_000_000, 64, 2));
+    let cases = [
+        ("site: \"root\"", "site: \"rot\"", "site.cue:2:7: site: site \"rot\" is not among the sites"),
+        ("place: 0", "place: 1", "site.cue:3:8: place: site \"root\" has 1 processes"),
+        ("parent: \"root\"", "parent: \"leaf\"", "site.cue:9:25: sites[1].parent: goes round in a ring"),
+        ("parent: \"root\"", "parent: \"r\"", "site \"r\" is not among the sites"),
+        ("parent: \"root\", ", "", "sites: 2 sites without a parent, wanted one: the root"),
+        ("\"leaf\"", "\"root\"", "sites[1].name: site \"root\" is given twice"),
+        ("place: 0", "place: 0\nterms: poll: \"3s\"", "terms.poll: is longer than half of settle"),
+        ("place: 0", "place: 0\nterms: lease: \"0s\"", "terms.lease: must be above 0"),
+        ("place: 0", "place: 0\nterms: clock_allowance: 2", "terms.clock_allowance: found 2, wanted"),
+    ];
+    for (right, wrong, told) in cases {
+        let error = Site::from_text("site.cue", &SITE.replace(right, wrong)).err().expect(wrong).to_string();
+        assert!(error.contains(told), "{error}\nin place of {told}");
+    }
+    let fleet = "fleet: {home: \"x\", pool: \"p\", key_file: \"k\", sites: [{name: \"y\", processes: [\"127.0.0.1:1\"]}]}\n";
+    let error = Edge::from_text("edge.cue", &format!("{GOOD}{fleet}")).err().unwrap().to_string();
+    assert!(error.contains("fleet.home: site \"x\" is not among the sites"), "{error}");
+}
--- a/crates/lilacpitch-fleet/src/catalogue.rs
+++ b/crates/lilacpitch-fleet/src/catalogue.rs
@@ -3,7 +3,7 @@
 use crate::message::{Known, Pending, Position, SiteNews};
 use crate::{Guards, Nanos};
 use lilacpitch_register::summary::{fingerprint, shard_of};
-use lilacpitch_register::{Query, RegisterError, ShardSummary, What};
+use lilacpitch_register::{Query, RegisterError, ShardNews, ShardSummary, What};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Bytes of news in one answer; the rest is asked for again.
@@ -122,6 +122,11 @@
         let (mut more, mut wrong) = (false, Vec::new());
         for news in all {
             let Some(summary) = self.sites.get_mut(&news.site) else { continue };
+            // Each process of a site numbers its versions for itself: one is kept to while it is heard.
+            let heard = |at: Nanos| asked_ns.saturating_sub(at) <= self.settle_ns / 2;
+            if summary.life != news.life && summary.as_of_ns.is_some_and(heard) {
+                continue;
+            }
             match take(summary, asked_ns, news) {
                 Ok(lacks) => more |= lacks,
                 Err(error) => {
@@ -142,12 +147,12 @@
             let Some(as_of_ns) = summary.as_of_ns else { continue };
             let shard = |at: usize, version| summary.shards[at].since(at as u32, Some(version));
             let (life, total, shards) = (summary.life, summary.total, summary.shards.len());
-            let (news, more) = news_of(known, life, total, shards, &mut room, shard);
+            let (news, total, more) = news_of(known, life, total, shards, &mut room, shard);
             all.push(SiteNews {
                 site: known.site.clone(),
                 life: summary.life,
                 shards: summary.shards.len() as u32,
-                total: summary.total,
+                total,
                 age_ns: now.saturating_sub(as_of_ns),
                 pending: match summary.many_pending {
                     true => Pending::Many,
@@ -162,33 +167,36 @@
     }
 }
 
-/// What is new of a site's shards for one that knows so much, within the room that is left; whether there is more.
+/// What is new of a site's shards for one that knows so much, within the room that is left: the news, the sum of the
+/// versions that it has once it has taken them, and whether there is more.
 pub fn news_of(
     known: &Known,
     life: u64,
     total: u64,
     shards: usize,
     room: &mut usize,
-    mut since: impl FnMut(usize, u64) -> Option<lilacpitch_register::ShardNews>,
-) -> (Vec<lilacpitch_register::ShardNews>, bool) {
+    mut since: impl FnMut(usize, u64) -> Option<ShardNews>,
+) -> (Vec<ShardNews>, u64, bool) {
     if known.life == life && known.total == total {
-        return (Vec::new(), false);
+        return (Vec::new(), total, false);
     }
     if known.life != life || known.shards.len() != shards {
-        return (Vec::new(), true);
+        return (Vec::new(), total, true);
     }
-    let mut news = Vec::new();
+    let (mut news, mut sum) = (Vec::new(), 0);
     for (at, version) in known.shards.iter().enumerate() {
         if *room == 0 {
-            return (news, true);
+            return (news, total, true);
         }
-        if let Some(one) = since(at, *version) {
+        let one = since(at, *version);
+        sum += one.as_ref().map_or(*version, |one| one.version);
+        if let Some(one) = one {
             let bytes = one.base.as_ref().map_or(0, |(_, bytes)| bytes.len()) + 5 * one.added.len() + 16;
             *room = room.saturating_sub(bytes);
             news.push(one);
         }
     }
-    (news, false)
+    (news, sum, false)
 }
 
 /// Takes one site's news; whether it lacks something.
--- a/crates/lilacpitch-fleet/src/message.rs
+++ b/crates/lilacpitch-fleet/src/message.rs
@@ -195,6 +195,8 @@
     Summaries(Vec<Known>),
     /// Within a site: up to which entry of its log must be applied before a read.
     ReadIndex,
+    /// Within a site: all rows go that a front wrote in lives before this one.
+    Sweep(String, u64),
     /// Within a site: for its leader, on behalf of the front or process named, by name and life.
     Forwarded(String, u64, Box<Request>),
     /// Within a site: a message of its replicated log.
--- a/crates/lilacpitch-fleet/src/relay.rs
+++ b/crates/lilacpitch-fleet/src/relay.rs
@@ -201,11 +201,17 @@
         (held && !self.is_superseded(who)) || !self.guards.fences
     }
 
-    /// Children that may live, with what each has applied.
+    /// Children that may still have a lease, with what each has applied.
     pub fn children(&self, now: Nanos) -> impl Iterator<Item = (&ChildId, Position)> {
         self.children.iter().filter(move |(_, child)| now < child.in_until_ns).map(|(id, c)| (id, c.applied))
     }
 
+    /// Fronts below, in each of their lives, and for how long each has surely had no lease.
+    pub fn fronts(&self, now: Nanos) -> Vec<(ChildId, Nanos)> {
+        let fronts = self.children.iter().filter(|(_, child)| child.is_front);
+        fronts.map(|(id, child)| (id.clone(), now.saturating_sub(child.in_until_ns))).collect()
+    }
+
     /// Up to so many of the orders that a child lacks.
     pub fn missing_orders(&self, applied: Position) -> Vec<Order> {
         let same = applied.log == self.position().log;
--- a/crates/lilacpitch-register/src/register.rs
+++ b/crates/lilacpitch-register/src/register.rs
@@ -72,6 +72,11 @@
         Arc::make_mut(&mut shard.rows).insert(row.key.clone(), row)
     }
 
+    /// The row of a key.
+    pub fn row(&self, key: &Key) -> Option<Row> {
+        self.shard(&key.number).read().rows.get(key).cloned()
+    }
+
     /// Takes a row out; the row.
     pub fn withdraw(&self, key: &Key) -> Option<Row> {
         Arc::make_mut(&mut self.shard(&key.number).write().rows).remove(key)
--- /dev/null
+++ b/crates/lilacpitch-site/src/follow.rs
@@ -0,0 +1,309 @@
+//! Leases from above, orders downwards, sums upwards.
+
+use crate::log::Command;
+use crate::process::{now, wall_ms, Process};
+use lilacpitch_fleet::holder::Taken;
+use lilacpitch_fleet::message::{Order, Position, Request, Response};
+use lilacpitch_fleet::relay::ChildId;
+use lilacpitch_fleet::window::Window;
+use lilacpitch_link::{Dialer, Link};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A lease is asked for again after this share of it.
+const RENEW_SHARE: u64 = 5;
+/// After so many failures the next process above is followed.
+const FAILURES: u32 = 2;
+/// How long a process of the root waits for its log to bring an order that it was told of.
+const LOG_PATIENCE: Duration = Duration::from_millis(500);
+/// The gap between looks at sums that wait for leases to run out, and between tries to say them.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// Who is above.
+enum Above {
+    /// Nobody: this process leads the root.
+    Origin,
+    /// The root's leader.
+    Leader(Arc<Dialer>),
+    /// A process of the site above.
+    Parent(Arc<Dialer>),
+    /// Nobody knows yet.
+    Unknown,
+}
+
+fn above(process: &Process) -> Above {
+    if !process.is_root() {
+        return Above::Parent(process.parents[*process.above.lock() % process.parents.len()].clone());
+    }
+    match process.leader() {
+        Some(place) if place == process.settings.place => Above::Origin,
+        Some(place) => process.siblings.get(place).cloned().map_or(Above::Unknown, Above::Leader),
+        None => Above::Unknown,
+    }
+}
+
+/// Keeps this process's own lease, or its leadership, in force.
+pub(crate) async fn follow(process: Arc<Process>) {
+    let gap = Duration::from_nanos(process.settings.terms.lease_ns / RENEW_SHARE);
+    let (mut failures, mut origin_term) = (0, None);
+    loop {
+        let (asked_ns, position) = (now(), process.relay.lock().position());
+        let again = match above(&process) {
+            Above::Origin => confirm(&process, asked_ns, &mut origin_term).await,
+            Above::Leader(leader) => {
+                let said = leader.ask(Request::Renew(Some(position)), process.patience()).await;
+                if let Ok(Response::Granted { for_ns, position, .. }) = said {
+                    process.relay.lock().may_grant(asked_ns + for_ns, position);
+                }
+                false
+            }
+            Above::Parent(parent) => {
+                let applied = process.holder.lock().position();
+                match parent.ask(Request::Renew(applied), process.patience()).await {
+                    Ok(Response::Refused(why)) => {
+                        failures += 1;
+                        tracing::debug!(%why, to = %parent.address, "no lease from above");
+                        false
+                    }
+                    Ok(response) => {
+                        failures = 0;
+                        renewed(&process, asked_ns, response)
+                    }
+                    Err(error) => {
+                        failures += 1;
+                        tracing::debug!(%error, to = %parent.address, "no lease from above");
+                        false
+                    }
+                }
+            }
+            Above::Unknown => false,
+        };
+        if !matches!(above(&process), Above::Origin) {
+            origin_term = None;
+        }
+        if failures >= FAILURES {
+            failures = 0;
+            *process.above.lock() += 1;
+        }
+        if !again {
+            process.acked.send_modify(|count| *count += 1);
+            tokio::time::sleep(if failures > 0 { gap.min(Duration::from_millis(200)) } else { gap }).await;
+        }
+    }
+}
+
+/// This process leads the root: as long as most of it confirm that, it may grant.
+async fn confirm(process: &Process, asked_ns: u64, origin_term: &mut Option<u64>) -> bool {
+    let Some(raft) = process.raft() else { return false };
+    let term = raft.metrics().borrow().current_term;
+    if raft.ensure_linearizable().await.is_err() {
+        return false;
+    }
+    if *origin_term != Some(term) {
+        *origin_term = Some(term);
+        process.relay.lock().became_origin(now());
+        tracing::info!(term, "leads the root");
+    }
+    let position = process.relay.lock().position();
+    if position.log == 0 {
+        if let Err(error) = raft.client_write(Command::NewLog(wall_ms())).await {
+            tracing::warn!(%error, "no log of orders begun");
+        }
+        return false;
+    }
+    let lease_ns = process.settings.terms.lease_ns;
+    process.relay.lock().may_grant(asked_ns + lease_ns, position);
+    false
+}
+
+/// What the process above answered; whether to ask again at once.
+fn renewed(process: &Process, asked_ns: u64, response: Response) -> bool {
+    let granted = match &response {
+        Response::Granted { for_ns, position, .. } => Some((asked_ns + for_ns, *position)),
+        _ => None,
+    };
+    let taken = process.holder.lock().answered(asked_ns, response);
+    match taken {
+        Taken::Orders(orders) => apply(process, orders),
+        Taken::Dropped => {
+            let (position, withdrawn) = {
+                let holder = process.holder.lock();
+                (holder.position().unwrap_or_default(), holder.withdrawn().clone())
+            };
+            tracing::info!(%position, "a fresh start from above");
+            process.relay.lock().reset(Window::at(position, withdrawn));
+            process.ordered.send_modify(|count| *count += 1);
+            return true;
+        }
+        Taken::Nothing => {}
+    }
+    let Some((until_ns, needs)) = granted else { return false };
+    let mut relay = process.relay.lock();
+    relay.may_grant(until_ns, needs);
+    !relay.position().reaches(needs)
+}
+
+/// Applies orders that are next: what this process holds itself is nothing but its place in them.
+fn apply(process: &Process, orders: Vec<Order>) {
+    if orders.is_empty() {
+        return;
+    }
+    let now = now();
+    for order in orders {
+        process.holder.lock().applied(&order);
+        process.relay.lock().ordered(now, order.what);
+    }
+    process.ordered.send_modify(|count| *count += 1);
+    process.acked.send_modify(|count| *count += 1);
+}
+
+impl Process {
+    /// Orders from above.
+    pub(crate) async fn take_orders(&self, log: u64, orders: Vec<Order>) -> Response {
+        if self.is_root() {
+            // They come by the log: it is waited for, and the position told.
+            let last = orders.last().map_or(0, |order| order.number);
+            let mut ordered = self.ordered.subscribe();
+            let there = ordered.wait_for(|_| self.relay.lock().position().order >= last);
+            let _ = tokio::time::timeout(LOG_PATIENCE, there).await;
+            return Response::Applied(self.relay.lock().position());
+        }
+        let next = self.holder.lock().orders(log, orders);
+        match next {
+            Ok(next) => apply(self, next),
+            Err(error) => tracing::debug!(%error, "orders not taken"),
+        }
+        Response::Applied(self.holder.lock().position().unwrap_or_default())
+    }
+
+    /// A child has a lease: orders go to it over this link from now on.
+    pub(crate) fn child_is_here(self: &Arc<Self>, who: ChildId, link: &Arc<Link>) {
+        let mut children = self.children.lock();
+        if children.get(&who).is_some_and(|known| Arc::ptr_eq(known, link)) {
+            return;
+        }
+        children.retain(|_, link| !link.is_closed());
+        children.insert(who.clone(), link.clone());
+        drop(children);
+        tracing::info!(child = who.name, life = who.life, "child is here");
+        tokio::spawn(pump(self.clone(), who, link.clone()));
+    }
+}
+
+/// Sends a child what it lacks, as it comes.
+async fn pump(process: Arc<Process>, who: ChildId, link: Arc<Link>) {
+    let mut ordered = process.ordered.subscribe();
+    loop {
+        ordered.borrow_and_update();
+        let lacks = {
+            let relay = process.relay.lock();
+            let applied = relay.children(0).find(|(id, _)| **id == who).map(|(_, applied)| applied);
+            applied.map(|applied| (relay.position().log, applied, relay.missing_orders(applied)))
+        };
+        let Some((log, applied, orders)) = lacks else { return };
+        if orders.is_empty() {
+            tokio::select! {
+                changed = ordered.changed() => if changed.is_err() { return },
+                () = link.ended() => return,
+            }
+            continue;
+        }
+        match link.ask(Request::Orders { log, orders }, process.patience()).await {
+            Ok(Response::Applied(upto)) => {
+                process.relay.lock().applied(&who, upto);
+                process.acked.send_modify(|count| *count += 1);
+                if upto == applied {
+                    // It takes nothing: it asks for its lease again, and what it lacks comes with that.
+                    tokio::time::sleep(LOOK).await;
+                }
+            }
+            Ok(_) => tokio::time::sleep(LOOK).await,
+            Err(error) => {
+                tracing::debug!(child = who.name, %error, "orders not sent");
+                link.close();
+                return;
+            }
+        }
+    }
+}
+
+/// At the root: takes orders from the log as they are applied.
+pub(crate) async fn take_orders_from_log(process: Arc<Process>) {
+    if !process.is_root() {
+        return;
+    }
+    let mut applied = process.applied.clone();
+    loop {
+        applied.borrow_and_update();
+        let here = process.relay.lock().position();
+        let (there, orders) = process
+            .state
+            .beside(|beside| (beside.window.position(), beside.window.after(here.order, usize::MAX)));
+        if there != here {
+            let now = now();
+            match orders.filter(|_| there.log == here.log) {
+                Some(orders) => {
+                    let mut relay = process.relay.lock();
+                    for order in orders {
+                        relay.ordered(now, order.what);
+                    }
+                }
+                None => {
+                    let window = process.state.beside(|beside| beside.window.clone());
+                    process.relay.lock().reset(window);
+                }
+            }
+            process.ordered.send_modify(|count| *count += 1);
+            process.acked.send_modify(|count| *count += 1);
+        }
+        if applied.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Says upwards how far all below are, whenever that has changed and with each lease.
+pub(crate) async fn say_sums(process: Arc<Process>) {
+    let mut acked = process.acked.subscribe();
+    let mut said: Option<(Position, u32, u64)> = None;
+    loop {
+        let round = *acked.borrow_and_update();
+        let sum = process.relay.lock().sum(now());
+        let to = match above(&process) {
+            Above::Leader(way) | Above::Parent(way) => Some(way),
+            Above::Origin | Above::Unknown => None,
+        };
+        let waits = sum.missing_count > 0;
+        // Each renewal counts as news: the process above may be another one by now.
+        let news = said.is_none_or(|(upto, missing, _)| (upto, missing) != (sum.upto, sum.missing_count));
+        if let Some(way) = to.filter(|_| news || said.is_none_or(|(.., at)| at != round)) {
+            let (upto, missing_count) = (sum.upto, sum.missing_count);
+            let say = Request::Sum { upto, missing: sum.missing, missing_count };
+            match way.ask(say, process.patience()).await {
+                Ok(_) => said = Some((upto, missing_count, round)),
+                Err(_) => tokio::time::sleep(LOOK).await,
+            }
+        }
+        tokio::select! {
+            changed = acked.changed() => if changed.is_err() { return },
+            () = tokio::time::sleep(LOOK), if waits => {}
+        }
+    }
+}
+
+/// A holder knows later orders of this log than the root: the root has lost some. A new log begins, and everybody
+/// starts afresh.
+pub(crate) async fn begin_log_anew(process: Arc<Process>, ahead: Option<Position>) {
+    let Some(index) = process.read_index().await else { return };
+    if !process.wait_applied(index, LOG_PATIENCE).await {
+        return;
+    }
+    let here = process.state.beside(|beside| beside.window.position());
+    let Some(ahead) = ahead.filter(|ahead| ahead.log == here.log && ahead.order > here.order) else { return };
+    tracing::error!(%ahead, %here, "orders are lost at the root: a new log begins");
+    if let Some(raft) = process.raft() {
+        if let Err(error) = raft.client_write(Command::NewLog(wall_ms().max(here.log + 1))).await {
+            tracing::warn!(%error, "no new log of orders begun");
+        }
+    }
+}
--- /dev/null
+++ b/crates/lilacpitch-site/src/log/mod.rs
@@ -0,0 +1,97 @@
+//! The replicated log of a site: `openraft`, its entries and votes on disk in `redb`, its state in the register.
+//!
+//! **What is durable when.** An entry is answered once it is committed: on the disks of most of the site's processes,
+//! synced, before the one that wrote it hears of it. So are votes. What was applied and not yet put into a snapshot is
+//! applied again after a start. A snapshot is a file, checked by a hash, that takes its place by renaming.
+
+pub mod machine;
+pub mod network;
+pub mod state;
+pub mod store;
+
+use lilacpitch_fleet::audit::Record;
+use lilacpitch_fleet::message::{Position, RowChange, What};
+use openraft::{BasicNode, Config, SnapshotPolicy};
+use serde::{Deserialize, Serialize};
+use std::io::Cursor;
+use std::sync::Arc;
+
+openraft::declare_raft_types!(
+    /// The types of a site's log.
+    pub Types:
+        D = Command,
+        R = Applied,
+        NodeId = u64,
+        Node = BasicNode,
+        SnapshotData = Cursor<Vec<u8>>,
+);
+
+/// The log.
+pub type Raft = openraft::Raft<Types>;
+
+/// What an entry does.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Command {
+    /// Rows entered and withdrawn.
+    Rows(Vec<RowChange>),
+    /// All rows go that a front wrote in lives before this one.
+    WithdrawFront(String, u64),
+    /// Changes up to this number are ordered, the last at this position.
+    Ordered(u64, Position),
+    /// At the root: orders, in turn.
+    Order(Vec<What>),
+    /// At the root: a new log of orders begins.
+    NewLog(u64),
+    /// At the root: what fronts say of themselves.
+    Audit(Vec<Record>),
+}
+
+/// What an entry has done.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub enum Applied {
+    /// That.
+    #[default]
+    Done,
+    /// The last order's position.
+    At(Position),
+    /// Nothing: why.
+    Refused(String),
+}
+
+/// How the log goes on: heartbeats and elections in milliseconds, snapshots by entries.
+pub fn config() -> Config {
+    Config {
+        cluster_name: "site".into(),
+        heartbeat_interval: 100,
+        election_timeout_min: 400,
+        election_timeout_max: 800,
+        install_snapshot_timeout: 5_000,
+        snapshot_policy: SnapshotPolicy::LogsSinceLast(10_000),
+        max_in_snapshot_log_to_keep: 2_000,
+        // So that a message of them stays below the longest frame.
+        max_payload_entries: 32,
+        snapshot_max_chunk_size: 1 << 20,
+        ..Config::default()
+    }
+}
+
+/// Starts the log over a store and a machine.
+pub async fn start(
+    place: u64,
+    processes: usize,
+    store: store::Store,
+    machine: machine::Machine,
+    network: network::Network,
+) -> Result<Raft, String> {
+    let config = Arc::new(config().validate().map_err(|e| e.to_string())?);
+    let raft = Raft::new(place, config, network, store, machine).await.map_err(|e| e.to_string())?;
+    if !raft.is_initialized().await.map_err(|e| e.to_string())? {
+        let members: std::collections::BTreeMap<u64, BasicNode> =
+            (0..processes as u64).map(|place| (place, BasicNode::default())).collect();
+        // All begin with the same members; who is told of others meanwhile has no need to.
+        if let Err(error) = raft.initialize(members).await {
+            tracing::info!(%error, "the log is there already");
+        }
+    }
+    Ok(raft)
+}
--- /dev/null
+++ b/crates/lilacpitch-site/src/log/state.rs
@@ -0,0 +1,166 @@
+//! What a site's log has made so far: the register, what of it is not ordered yet, and at the root the orders and the
+//! audit.
+
+use super::{Applied, Command};
+use lilacpitch_fleet::audit::Ledger;
+use lilacpitch_fleet::message::{Pending, Position, RowChange, What, MAX_SCOPES};
+use lilacpitch_fleet::window::Window;
+use lilacpitch_register::{Number, Register, RegisterError, Row};
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+/// Numbers without an order that a summary names one by one.
+const PENDING_NAMED: usize = 256;
+
+/// What is beside the rows.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Beside {
+    /// Numbers whose rows changed and whose purge is not ordered yet, by the change's number.
+    pub outbox: BTreeMap<u64, Number>,
+    /// The number of the last change.
+    pub changes: u64,
+    /// The last order of this site's changes.
+    pub ordered: Position,
+    /// At the root: the orders.
+    pub window: Window,
+    /// At the root: the audit.
+    pub ledger: Ledger,
+    /// How often a front's rows were swept out: those that live write them again.
+    pub sweeps: BTreeMap<String, u64>,
+    /// When this register began, in nanoseconds since 1970: rows of another are not here.
+    pub begun: u64,
+}
+
+/// The state of a site. The register is shared by threads; what is beside it stands under one lock, never held with
+/// a shard's.
+#[derive(Debug)]
+pub struct State {
+    /// The rows.
+    pub register: Register,
+    beside: Mutex<Beside>,
+}
+
+impl State {
+    /// An empty one.
+    pub fn new(shards: usize) -> Result<Self, RegisterError> {
+        Ok(State { register: Register::new(shards)?, beside: Mutex::default() })
+    }
+
+    /// Looks at what is beside the rows.
+    pub fn beside<T>(&self, look: impl FnOnce(&Beside) -> T) -> T {
+        look(&self.beside.lock())
+    }
+
+    /// Applies an entry.
+    pub fn apply(&self, command: Command) -> Applied {
+        match command {
+            Command::Rows(changes) => self.rows(changes),
+            Command::WithdrawFront(front, before) => {
+                let gone: BTreeSet<Number> =
+                    self.register.withdraw_front(&front, before).into_iter().collect();
+                let mut beside = self.beside.lock();
+                if !gone.is_empty() {
+                    *beside.sweeps.entry(front).or_default() += 1;
+                }
+                gone.into_iter().for_each(|number| beside.changed(number));
+                Applied::Done
+            }
+            Command::Ordered(upto, position) => {
+                let mut beside = self.beside.lock();
+                beside.outbox = beside.outbox.split_off(&(upto + 1));
+                beside.ordered = position;
+                Applied::Done
+            }
+            Command::Order(all) => {
+                let mut beside = self.beside.lock();
+                let wrong =
+                    all.iter().any(|what| matches!(what, What::Purge(scopes) if scopes.len() > MAX_SCOPES));
+                if wrong || beside.window.position().log == 0 {
+                    return Applied::Refused("an order with too many scopes, or no log to order in".into());
+                }
+                for what in all {
+                    beside.window.append(what);
+                }
+                Applied::At(beside.window.position())
+            }
+            Command::NewLog(log) => {
+                let mut beside = self.beside.lock();
+                let withdrawn = beside.window.withdrawn().clone();
+                beside.window = Window::at(Position { log, order: 0 }, withdrawn);
+                if beside.begun == 0 {
+                    beside.begun = log;
+                }
+                Applied::Done
+            }
+            Command::Audit(records) => {
+                let mut beside = self.beside.lock();
+                let refused =
+                    records.into_iter().filter_map(|record| beside.ledger.take(record).err()).last();
+                refused.map_or(Applied::Done, |error| Applied::Refused(error.to_string()))
+            }
+        }
+    }
+
+    fn rows(&self, changes: Vec<RowChange>) -> Applied {
+        for change in changes {
+            let number = match change {
+                // Written again as it stands: nothing has changed for anybody.
+                RowChange::Put(row) if self.has(&row) => continue,
+                RowChange::Put(row) => {
+                    let number = row.key.number.clone();
+                    self.register.put(row);
+                    number
+                }
+                RowChange::Withdraw(key) => match self.register.withdraw(&key) {
+                    Some(_) => key.number,
+                    None => continue,
+                },
+            };
+            self.beside.lock().changed(number);
+        }
+        Applied::Done
+    }
+
+    fn has(&self, row: &Row) -> bool {
+        self.register.row(&row.key).is_some_and(|held| held == *row)
+    }
+
+    /// For summaries: what changed and is not ordered.
+    pub fn pending(&self) -> (Pending, Position) {
+        let beside = self.beside.lock();
+        let pending = match beside.outbox.len() {
+            0..=PENDING_NAMED => Pending::Some(beside.outbox.values().map(Number::hash64).collect()),
+            _ => Pending::Many,
+        };
+        (pending, beside.ordered)
+    }
+
+    /// Up to so many changes that are not ordered: the last one's number, and their numbers, each once.
+    pub fn unordered(&self, most: usize) -> Option<(u64, BTreeSet<Number>)> {
+        let beside = self.beside.lock();
+        let upto = *beside.outbox.keys().take(most).next_back()?;
+        Some((upto, beside.outbox.range(..=upto).map(|(_, number)| number.clone()).collect()))
+    }
+
+    /// The register as a front knows it: another number means that its rows are to be written again.
+    pub fn register_of(&self, front: &str) -> u64 {
+        let beside = self.beside.lock();
+        beside.begun.wrapping_add(beside.sweeps.get(front).copied().unwrap_or(0))
+    }
+
+    /// Puts what a snapshot held in place of everything.
+    pub fn restore(&self, rows: Vec<Row>, beside: Beside) -> Result<(), RegisterError> {
+        self.register.restore(rows)?;
+        *self.beside.lock() = beside;
+        Ok(())
+    }
+}
+
+impl Beside {
+    fn changed(&mut self, number: Number) {
+        self.changes += 1;
+        self.outbox.insert(self.changes, number);
+    }
+}
--- /dev/null
+++ b/crates/lilacpitch-site/src/main.rs
@@ -0,0 +1,6 @@
+//! The program `lilacpitch-site`.
+#![forbid(unsafe_code)]
+
+fn main() -> std::process::ExitCode {
+    lilacpitch_site::cli::main(std::env::args_os())
+}
--- /dev/null
+++ b/crates/lilacpitch-site/src/serve.rs
@@ -0,0 +1,227 @@
+//! What a process answers to others.
+
+use crate::log::Types;
+use crate::process::{now, Process};
+use lilacpitch_fleet::message::{LogMessage, Refusal, Request, Response, Role, RowChange, MAX_ROWS};
+use lilacpitch_fleet::relay::{ChildId, Sum};
+use lilacpitch_link::{Link, Serve, Served};
+use openraft::raft::{AppendEntriesRequest, InstallSnapshotRequest, VoteRequest};
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use std::sync::atomic::Ordering::Relaxed;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// What one that is told 'full' is told to wait.
+const FULL_WAIT_MS: u32 = 20;
+
+impl Serve for Process {
+    fn serve(self: Arc<Self>, from: Arc<Link>, ask: Request) -> Served {
+        Box::pin(async move { self.answer(from, ask).await })
+    }
+}
+
+fn refused(why: Refusal) -> Response {
+    Response::Refused(why)
+}
+
+impl Process {
+    async fn answer(self: Arc<Self>, from: Arc<Link>, ask: Request) -> Response {
+        let who = ChildId { name: from.peer.name.clone(), life: from.peer.life };
+        let is_sibling = matches!(&from.peer.role, Role::Process(site, _) if *site == self.settings.site);
+        match ask {
+            Request::Renew(applied) => self.renew(&from, who, applied),
+            Request::Sum { upto, missing, missing_count } => {
+                self.relay.lock().summed(&who, Sum { upto, missing, missing_count });
+                self.acked.send_modify(|count| *count += 1);
+                Response::Done
+            }
+            Request::Leave => {
+                self.relay.lock().left(&who);
+                self.acked.send_modify(|count| *count += 1);
+                Response::Done
+            }
+            Request::Orders { log, orders } => self.take_orders(log, orders).await,
+            Request::Submit(_) | Request::Progress | Request::Audit(_) => self.up(ask).await,
+            Request::Write(changes) => self.write(who, changes).await,
+            Request::Forwarded(name, life, request) if is_sibling => {
+                self.forwarded(ChildId { name, life }, *request).await
+            }
+            Request::Find { query, after, limit, .. } => {
+                let Ok(_permit) = self.questions.try_acquire() else {
+                    self.counters.full.fetch_add(1, Relaxed);
+                    return refused(Refusal::Full { wait_ms: FULL_WAIT_MS });
+                };
+                if self.guards.ages && !self.reads.barrier().await {
+                    self.counters.behind.fetch_add(1, Relaxed);
+                    return refused(Refusal::Behind);
+                }
+                let limit = (limit as usize).clamp(1, MAX_ROWS);
+                let page = self.state.register.find(&query, after.as_ref(), limit);
+                self.counters.found.fetch_add(1, Relaxed);
+                Response::Found { page, process: self.me.name.clone() }
+            }
+            Request::Summaries(known) => self.summaries(known).await,
+            Request::ReadIndex if is_sibling => match self.read_index().await {
+                Some(index) => Response::ReadIndex(index),
+                None => refused(Refusal::Behind),
+            },
+            Request::Log(message) if is_sibling => self.log_message(message).await,
+            Request::Forwarded(..) | Request::Sweep(..) | Request::ReadIndex | Request::Log(_) => {
+                refused(Refusal::Unwanted)
+            }
+        }
+    }
+
+    fn renew(
+        self: &Arc<Self>,
+        from: &Arc<Link>,
+        who: ChildId,
+        applied: Option<lilacpitch_fleet::message::Position>,
+    ) -> Response {
+        let is_front = from.peer.role == Role::Front;
+        let register = self.state.register_of(&who.name);
+        let said = self.relay.lock().renew(now(), &who, is_front, applied, register);
+        match &said {
+            Response::Granted { for_ns, .. } => {
+                let counter = if *for_ns > 0 { &self.counters.granted } else { &self.counters.not_granted };
+                counter.fetch_add(1, Relaxed);
+                self.child_is_here(who, from);
+                self.acked.send_modify(|count| *count += 1);
+            }
+            Response::Refused(Refusal::Ahead) => {
+                self.counters.not_granted.fetch_add(1, Relaxed);
+                if self.is_root() && self.leads() {
+                    tokio::spawn(crate::follow::begin_log_anew(self.clone(), applied));
+                }
+            }
+            _ => drop(self.counters.not_granted.fetch_add(1, Relaxed)),
+        }
+        said
+    }
+
+    /// To be asked at the root: this process if it leads there, else the way up.
+    pub(crate) async fn up(self: &Arc<Self>, ask: Request) -> Response {
+        if self.is_root() {
+            match self.leader() {
+                Some(place) if place == self.settings.place => return self.at_root(ask).await,
+                Some(place) => {
+                    let forward = Request::Forwarded(self.me.name.clone(), self.me.life, Box::new(ask));
+                    return self.ask(place, forward).await;
+                }
+                None => return refused(Refusal::NoLeader),
+            }
+        }
+        let parent = self.parents[*self.above.lock() % self.parents.len()].clone();
+        parent.ask(ask, self.patience() * 2).await.unwrap_or_else(|e| refused(Refusal::Failed(e.to_string())))
+    }
+
+    /// Asks a sibling.
+    pub(crate) async fn ask(&self, place: usize, request: Request) -> Response {
+        let Some(way) = self.siblings.get(place) else { return refused(Refusal::NoLeader) };
+        way.ask(request, self.patience()).await.unwrap_or_else(|e| refused(Refusal::Failed(e.to_string())))
+    }
+
+    async fn at_root(self: &Arc<Self>, ask: Request) -> Response {
+        match ask {
+            Request::Submit(what) => self.writes.order(what).await,
+            Request::Audit(records) => self.writes.audit(records).await,
+            Request::Progress => {
+                let sum = self.relay.lock().sum(now());
+                Response::Progress {
+                    ordered: self.relay.lock().position(),
+                    complete: sum.upto.order,
+                    missing: sum.missing,
+                    missing_count: sum.missing_count,
+                }
+            }
+            _ => refused(Refusal::Unwanted),
+        }
+    }
+
+    async fn forwarded(self: &Arc<Self>, who: ChildId, request: Request) -> Response {
+        if !self.leads() {
+            return refused(Refusal::NoLeader);
+        }
+        match request {
+            // The sibling that took it has looked at the front's lease.
+            Request::Write(changes) => self.writes.rows(changes).await,
+            Request::Sweep(front, before) => self.writes.withdraw_front(front, before).await,
+            other if self.is_root() => self.at_root(other).await,
+            other => {
+                tracing::debug!(who = who.name, ?other, "forwarded, and not wanted");
+                refused(Refusal::Unwanted)
+            }
+        }
+    }
+
+    async fn write(self: &Arc<Self>, who: ChildId, changes: Vec<RowChange>) -> Response {
+        if changes.len() > MAX_ROWS {
+            return refused(Refusal::Malformed(format!("{} rows, {MAX_ROWS} at most", changes.len())));
+        }
+        for change in &changes {
+            let (key, wrong) = match change {
+                RowChange::Put(row) => (&row.key, row.check().err()),
+                RowChange::Withdraw(key) => (key, None),
+            };
+            let foreign = key.holder.front != who.name || key.holder.life != who.life;
+            let what = wrong.map(|e| e.to_string());
+            if let Some(what) = what.or(foreign.then(|| format!("a row of {}", key.holder.front))) {
+                return refused(Refusal::Malformed(what));
+            }
+        }
+        if !self.relay.lock().holds(now(), &who) {
+            self.counters.fenced.fetch_add(1, Relaxed);
+            return refused(Refusal::Fenced);
+        }
+        match self.leader() {
+            Some(place) if place == self.settings.place => self.writes.rows(changes).await,
+            Some(place) => {
+                let forward = Request::Forwarded(who.name, who.life, Box::new(Request::Write(changes)));
+                self.ask(place, forward).await
+            }
+            None => refused(Refusal::NoLeader),
+        }
+    }
+
+    async fn log_message(&self, message: LogMessage) -> Response {
+        let Some(raft) = self.raft() else { return refused(Refusal::NoLeader) };
+        fn read<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Refusal> {
+            postcard::from_bytes(bytes).map_err(|e| Refusal::Malformed(e.to_string()))
+        }
+        fn said<A: Serialize, E: Serialize>(result: Result<A, E>) -> Response {
+            let bytes = match &result {
+                Ok(answer) => postcard::to_allocvec(answer).map(Ok),
+                Err(error) => postcard::to_allocvec(error).map(Err),
+            };
+            bytes.map_or_else(|e| refused(Refusal::Malformed(e.to_string())), Response::Log)
+        }
+        match message {
+            LogMessage::Append(bytes) => match read::<AppendEntriesRequest<Types>>(&bytes) {
+                Ok(rpc) => said(raft.append_entries(rpc).await),
+                Err(refusal) => refused(refusal),
+            },
+            LogMessage::Vote(bytes) => match read::<VoteRequest<u64>>(&bytes) {
+                Ok(rpc) => said(raft.vote(rpc).await),
+                Err(refusal) => refused(refusal),
+            },
+            LogMessage::Snapshot(bytes) => match read::<InstallSnapshotRequest<Types>>(&bytes) {
+                Ok(rpc) => said(raft.install_snapshot(rpc).await),
+                Err(refusal) => refused(refusal),
+            },
+        }
+    }
+
+    /// Up to which entry a read must wait; `None`: this process does not lead, or can't tell.
+    pub(crate) async fn read_index(&self) -> Option<u64> {
+        let (read, _) = self.raft()?.get_read_log_id().await.ok()?;
+        Some(read.map_or(0, |id| id.index))
+    }
+
+    /// Waits until everything up to an entry is applied here.
+    pub(crate) async fn wait_applied(&self, index: u64, patience: Duration) -> bool {
+        let mut applied = self.applied.clone();
+        let waited = tokio::time::timeout(patience, applied.wait_for(|applied| *applied >= index)).await;
+        matches!(waited, Ok(Ok(_)))
+    }
+}
--- /dev/null
+++ b/crates/lilacpitch-site/src/summaries.rs
@@ -0,0 +1,105 @@
+//! Summaries: of this site for others, and of others from above and below.
+
+use crate::process::{now, Process};
+use lilacpitch_fleet::catalogue::{news_of, NEWS_BYTES};
+use lilacpitch_fleet::message::{Known, Refusal, Request, Response, Role, SiteNews};
+use lilacpitch_link::{Dialer, Link};
+use std::sync::atomic::Ordering::Relaxed;
+use std::sync::Arc;
+use std::time::Duration;
+
+impl Process {
+    /// What another process lacks.
+    pub(crate) async fn summaries(self: &Arc<Self>, known: Vec<Known>) -> Response {
+        if known.len() > self.settings.sites.len() {
+            return Response::Refused(Refusal::Malformed(format!("{} sites", known.len())));
+        }
+        let own = known.iter().find(|known| known.site == self.settings.site).cloned();
+        let mut all = Vec::new();
+        if let Some(known) = own {
+            all.extend(self.own_news(&known).await);
+        }
+        let own = &self.settings.site;
+        all.extend(self.catalogue.read().news(now(), &known, |site| site == own));
+        Response::Summaries(all)
+    }
+
+    /// News of this site; none while this process can't tell whether it lags behind.
+    async fn own_news(&self, known: &Known) -> Option<SiteNews> {
+        let asked_ns = now();
+        if self.guards.ages && !self.reads.barrier().await {
+            return None;
+        }
+        // What is not ordered is looked at first: a change that comes between is in the summary then, and if its
+        // order comes between as well, the position is the older one.
+        let (pending, ordered) = self.state.pending();
+        let register = &self.state.register;
+        let total = register.versions().iter().sum();
+        let mut room = NEWS_BYTES;
+        let shard = |at: usize, version| register.summary(at, Some(version));
+        let (news, total, more) = news_of(known, self.me.life, total, register.shards(), &mut room, shard);
+        Some(SiteNews {
+            site: self.settings.site.clone(),
+            life: self.me.life,
+            shards: register.shards() as u32,
+            total,
+            age_ns: now().saturating_sub(asked_ns),
+            pending,
+            ordered,
+            news,
+            more,
+        })
+    }
+}
+
+/// Asks above and below for summaries, again and again.
+pub(crate) async fn poll(process: Arc<Process>) {
+    let gap = Duration::from_nanos(process.settings.terms.poll_ns);
+    loop {
+        let below: Vec<Arc<Link>> = process.children.lock().values().cloned().collect();
+        let processes = below.into_iter().filter(|link| matches!(link.peer.role, Role::Process(..)));
+        let mut ways: Vec<Way> = processes.map(Way::Below).collect();
+        if !process.is_root() {
+            let at = *process.above.lock() % process.parents.len();
+            ways.push(Way::Above(process.parents[at].clone()));
+        } else if let Some(place) = process.leader().filter(|place| *place != process.settings.place) {
+            ways.extend(process.siblings.get(place).cloned().map(Way::Above));
+        }
+        let mut asking = tokio::task::JoinSet::new();
+        for way in ways {
+            asking.spawn(ask(process.clone(), way));
+        }
+        // One that stands still must not keep the others' news back.
+        let _ = tokio::time::timeout(gap, async { while asking.join_next().await.is_some() {} }).await;
+        asking.detach_all();
+        tokio::time::sleep(gap).await;
+    }
+}
+
+/// The way to a process that is asked.
+enum Way {
+    Above(Arc<Dialer>),
+    Below(Arc<Link>),
+}
+
+/// Asks one process until it has nothing more to say.
+async fn ask(process: Arc<Process>, way: Way) {
+    const ROUNDS: usize = 64;
+    for _ in 0..ROUNDS {
+        let (asked_ns, known) = (now(), process.catalogue.read().known());
+        let (ask, patience) = (Request::Summaries(known), process.patience());
+        let said = match &way {
+            Way::Above(dialer) => dialer.ask(ask, patience).await,
+            Way::Below(link) => link.ask(ask, patience).await,
+        };
+        let Ok(Response::Summaries(news)) = said else { return };
+        let (more, wrong) = process.catalogue.write().take(asked_ns, news);
+        for error in wrong {
+            process.counters.summaries_refused.fetch_add(1, Relaxed);
+            tracing::warn!(%error, "summary refused");
+        }
+        if !more {
+            return;
+        }
+    }
+}
