--- a/crates/lilacpitch-edge/src/cli.rs
+++ b/crates/lilacpitch-edge/src/cli.rs
@@ -53,6 +53,12 @@
 
 /// Runs the program. Exit codes: 0 done, 1 could not run, 2 wrong arguments or settings.
 pub fn main(args: impl IntoIterator<Item = OsString>) -> ExitCode {
+    main_with(args, lilacpitch_fleet::Guards::default())
+}
+
+/// With guards of the fleet's promises switched off: for the laboratory.
+#[doc(hidden)]
+pub fn main_with(args: impl IntoIterator<Item = OsString>, promises: lilacpitch_fleet::Guards) -> ExitCode {
     let args = match Args::try_parse_from(args) {
         Ok(args) => args,
         Err(error) => {
@@ -63,7 +69,7 @@
         }
     };
     let done = match args.command {
-        Command::Run { config } => return run(&config),
+        Command::Run { config } => return run(&config, promises),
         Command::Node { config } => return node(config),
         Command::Peers { metrics } => return peers(metrics),
         Command::Check { config } => check(&config).map(|said| say(&said)),
@@ -148,7 +154,7 @@
     Ok(format!("{}: {classes} classes, {servers} servers, no mistakes", config.display()))
 }
 
-fn run(config: &Path) -> ExitCode {
+fn run(config: &Path, promises: lilacpitch_fleet::Guards) -> ExitCode {
     let settings = match Edge::load(config) {
         Ok(loaded) => loaded.value,
         Err(error) => {
@@ -179,7 +185,7 @@
                 _ = int.recv() => {}
             }
         };
-        net::run(settings, Guards::default(), ready, stop).await
+        net::run_with(settings, Guards::default(), promises, ready, stop).await
     });
     let Some(ran) = ran else { return ExitCode::FAILURE };
     match ran {
--- /dev/null
+++ b/crates/lilacpitch-edge/src/fleet/ask.rs
@@ -0,0 +1,180 @@
+//! The module at work on questions: one task owns it, others wait for answers.
+
+use super::Agent;
+use lilacpitch::interface::Outcome;
+use lilacpitch_fleet::asker::{Asker, Do, Timing};
+use lilacpitch_fleet::error::LocateError;
+use lilacpitch_fleet::message::{Refusal, Request, Response};
+use lilacpitch_link::{steady_ns, LinkError};
+use lilacpitch_register::Page;
+use parking_lot::Mutex;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+
+const QUEUE: usize = 16_384;
+
+type Answered = Result<(Page, String), LocateError>;
+
+/// A question to a site.
+pub(super) struct Ask {
+    site: usize,
+    urgent: bool,
+    budget_ns: u64,
+    request: Request,
+    give: oneshot::Sender<Answered>,
+}
+
+enum News {
+    Ask(Box<Ask>),
+    /// An attempt has ended: how, and what came with it.
+    Ended(Do, Outcome, Option<(Page, String)>),
+}
+
+/// The way to the module.
+pub(super) struct Asks(mpsc::Sender<News>);
+
+pub(super) struct Asking {
+    asker: Mutex<Asker>,
+    news: mpsc::Sender<News>,
+    take: mpsc::Receiver<News>,
+}
+
+impl Asks {
+    pub fn new(sites: &[usize], timing: Timing, seed: u64) -> (Self, Asking) {
+        let (news, take) = mpsc::channel(QUEUE);
+        let asker = Mutex::new(Asker::new(sites, timing, steady_ns(), seed));
+        (Asks(news.clone()), Asking { asker, news, take })
+    }
+
+    /// Asks a site: an answer, or why there is none.
+    pub async fn ask(&self, site: usize, urgent: bool, budget: Duration, request: Request) -> Answered {
+        let (give, take) = oneshot::channel();
+        let budget_ns = budget.as_nanos() as u64;
+        let ask = Ask { site, urgent, budget_ns, request, give };
+        if self.0.try_send(News::Ask(Box::new(ask))).is_err() {
+            return Err(LocateError::TooMany);
+        }
+        match tokio::time::timeout(budget, take).await {
+            Ok(Ok(answered)) => answered,
+            _ => Err(LocateError::Late),
+        }
+    }
+}
+
+/// A question that is with the module.
+struct Open {
+    request: Request,
+    give: oneshot::Sender<Answered>,
+    until_ns: u64,
+    last: LocateError,
+}
+
+/// Feeds the module and does what it says.
+pub(super) async fn run(agent: Arc<Agent>, asking: Asking) {
+    let Asking { asker, news, mut take } = asking;
+    let mut asker = asker.into_inner();
+    let (mut open, mut todo): (HashMap<u64, Open>, Vec<Do>) = Default::default();
+    let (mut wake_ns, mut round) = (None::<u64>, Vec::new());
+    loop {
+        let wait = wake_ns.map(|at| Duration::from_nanos(at.saturating_sub(steady_ns())));
+        tokio::select! {
+            count = take.recv_many(&mut round, 256) => {
+                if count == 0 {
+                    return;
+                }
+            }
+            () = tokio::time::sleep(wait.unwrap_or_default()), if wait.is_some() => {
+                wake_ns = None;
+                asker.wake(steady_ns(), &mut todo);
+                // Whose asker has gone is forgotten, so that nothing more is sent for it.
+                let now = steady_ns();
+                let gone: Vec<u64> =
+                    open.iter().filter(|(_, o)| o.give.is_closed() || o.until_ns <= now).map(|(id, _)| *id).collect();
+                for id in gone {
+                    open.remove(&id);
+                    asker.forget(now, id, &mut todo);
+                }
+            }
+        }
+        for news in round.drain(..) {
+            let now = steady_ns();
+            match news {
+                News::Ask(ask) => {
+                    let Ask { site, urgent, budget_ns, request, give } = *ask;
+                    let until_ns = now + budget_ns;
+                    let mut first = Vec::new();
+                    let id = asker.ask(now, site, urgent, budget_ns, &mut first);
+                    open.insert(id, Open { request, give, until_ns, last: LocateError::Late });
+                    todo.append(&mut first);
+                }
+                News::Ended(done, outcome, answer) => {
+                    if let Do::Ask { question, .. } = done {
+                        if let Some(answer) = answer {
+                            if let Some(open) = open.remove(&question) {
+                                let _ = open.give.send(Ok(answer));
+                            }
+                        } else if let Some(open) = open.get_mut(&question) {
+                            open.last = why(outcome);
+                        }
+                    }
+                    asker.ended(now, done, outcome, &mut todo);
+                }
+            }
+        }
+        while let Some(what) = todo.pop() {
+            match what {
+                Do::Ask { question, site, process, timeout_ns, .. } => {
+                    let Some(open) = open.get(&question) else {
+                        // Its asker has gone: nothing is sent, and the module told so.
+                        asker.ended(steady_ns(), what, Outcome::NotSent, &mut todo);
+                        continue;
+                    };
+                    let (way, request) = (agent.sites[site].1[process].clone(), open.request.clone());
+                    let (news, patience) = (news.clone(), Duration::from_nanos(timeout_ns));
+                    tokio::spawn(async move {
+                        let (outcome, answer) = outcome(way.ask(request, patience).await);
+                        let _ = news.send(News::Ended(what, outcome, answer)).await;
+                    });
+                }
+                Do::Refuse(question) | Do::Fail(question) => {
+                    if let Some(open) = open.remove(&question) {
+                        let _ = open.give.send(Err(open.last));
+                    }
+                }
+                Do::WakeAt(at) => wake_ns = Some(wake_ns.map_or(at, |set| set.min(at))),
+            }
+        }
+    }
+}
+
+fn why(outcome: Outcome) -> LocateError {
+    match outcome {
+        Outcome::ProcessorFull(wait) => {
+            let wait_ms = wait.map_or(0, |ns| (ns / 1_000_000) as u32);
+            LocateError::Refused(Refusal::Full { wait_ms })
+        }
+        Outcome::NoRoute => LocateError::Unreached,
+        Outcome::NoCircuit => LocateError::Refused(Refusal::Behind),
+        _ => LocateError::Late,
+    }
+}
+
+/// How an attempt ended, in the module's words.
+fn outcome(said: Result<Response, LinkError>) -> (Outcome, Option<(Page, String)>) {
+    match said {
+        Ok(Response::Found { page, process }) => (Outcome::Passed, Some((page, process))),
+        Ok(Response::Refused(Refusal::Full { wait_ms })) => {
+            (Outcome::ProcessorFull(Some(u64::from(wait_ms) * 1_000_000)), None)
+        }
+        // It runs and has nothing to give: as a server without a free circuit.
+        Ok(Response::Refused(_)) => (Outcome::NoCircuit, None),
+        Ok(_) => (Outcome::Fault, None),
+        Err(LinkError::Late) => (Outcome::TimedOut, None),
+        Err(LinkError::Unreached(..) | LinkError::Greeting(_) | LinkError::Backlog) => {
+            (Outcome::NoRoute, None)
+        }
+        Err(LinkError::Closed | LinkError::Frame(_)) => (Outcome::Cut, None),
+    }
+}
--- /dev/null
+++ b/crates/lilacpitch-edge/src/fleet/follow.rs
@@ -0,0 +1,151 @@
+//! The lease from the home site, orders from it, and summaries.
+
+use super::{wall_ms, Agent, Counters, FromAgent};
+use lilacpitch_fleet::holder::Taken;
+use lilacpitch_fleet::message::{Order, Request, Response};
+use lilacpitch_link::{steady_ns, Dialer, Link};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A lease is asked for again after this share of it.
+const RENEW_SHARE: u64 = 5;
+/// After so many failures the next process of the home site is followed.
+const FAILURES: u32 = 2;
+/// The longest gap after a failure.
+const AGAIN: Duration = Duration::from_millis(200);
+
+/// Keeps the lease in force.
+pub(super) async fn follow(agent: Arc<Agent>) {
+    let gap = Duration::from_nanos(agent.of.terms.lease_ns / RENEW_SHARE);
+    let mut failures = 0;
+    loop {
+        let (asked_ns, applied) = (steady_ns(), agent.holder.lock().position());
+        let home = agent.above();
+        let again = match home.ask(Request::Renew(applied), agent.patience()).await {
+            Ok(Response::Refused(why)) => {
+                tracing::debug!(%why, "no lease");
+                failures += 1;
+                false
+            }
+            Ok(response) => {
+                failures = 0;
+                agent.renewed(asked_ns, response)
+            }
+            Err(error) => {
+                tracing::debug!(%error, "no lease");
+                failures += 1;
+                false
+            }
+        };
+        if failures >= FAILURES {
+            failures = 0;
+            *agent.above.lock() += 1;
+        }
+        agent.note_version();
+        agent.say_version(&home).await;
+        if !again {
+            tokio::time::sleep(if failures > 0 { gap.min(AGAIN) } else { gap }).await;
+        }
+    }
+}
+
+/// Asks the home site for summaries.
+pub(super) async fn poll(agent: Arc<Agent>) {
+    let gap = Duration::from_nanos(agent.of.terms.poll_ns);
+    loop {
+        let (asked_ns, known) = (steady_ns(), agent.catalogue.read().known());
+        let said = agent.above().ask(Request::Summaries(known), agent.patience()).await;
+        let more = match said {
+            Ok(Response::Summaries(news)) => {
+                let (more, wrong) = agent.catalogue.write().take(asked_ns, news);
+                for error in wrong {
+                    Counters::one(&agent.counters.summaries_refused);
+                    tracing::warn!(%error, "summary refused");
+                }
+                more
+            }
+            _ => false,
+        };
+        if !more {
+            tokio::time::sleep(gap).await;
+        }
+    }
+}
+
+impl Agent {
+    /// The process of the home site that is followed.
+    pub(super) fn above(&self) -> Arc<Dialer> {
+        self.home[*self.above.lock() % self.home.len()].clone()
+    }
+
+    pub(super) fn patience(&self) -> Duration {
+        Duration::from_nanos(self.of.terms.ask_ns * 5)
+    }
+
+    fn renewed(&self, asked_ns: u64, response: Response) -> bool {
+        if let Response::Granted { register, .. } = &response {
+            self.register_is(*register);
+        }
+        let granted = matches!(response, Response::Granted { .. });
+        // Held until what is ordered is applied: two answers must not apply one order twice.
+        let mut holder = self.holder.lock();
+        match holder.answered(asked_ns, response) {
+            Taken::Orders(orders) => self.apply(&mut holder, orders),
+            Taken::Dropped => {
+                self.cache.clear(steady_ns());
+                Counters::one(&self.counters.fresh_starts);
+                tracing::info!(position = ?holder.position(), "a fresh start: what was cached is dropped");
+            }
+            Taken::Nothing => {}
+        }
+        let again = !granted || holder.usable(steady_ns()).is_err();
+        let in_force = !holder.is_withdrawn();
+        drop(holder);
+        // Said with each answer: the front passes over what it knows.
+        let _ = self.say.try_send(FromAgent::InForce(in_force));
+        // A fresh start, or a lease that asks for more orders first, is worth another question at once.
+        again && in_force
+    }
+
+    fn apply(&self, holder: &mut lilacpitch_fleet::holder::Holder, orders: Vec<Order>) {
+        let now = steady_ns();
+        for order in orders {
+            self.cache.apply(now, &order);
+            holder.applied(&order);
+            Counters::one(&self.counters.orders);
+        }
+    }
+
+    /// What the home site asks of this front.
+    pub(super) fn answer(&self, _from: &Link, ask: Request) -> Response {
+        let Request::Orders { log, orders } = ask else {
+            return Response::Refused(lilacpitch_fleet::message::Refusal::Unwanted);
+        };
+        let mut holder = self.holder.lock();
+        match holder.orders(log, orders) {
+            Ok(next) => self.apply(&mut holder, next),
+            Err(error) => tracing::debug!(%error, "orders not taken"),
+        }
+        let (position, in_force) = (holder.position().unwrap_or_default(), !holder.is_withdrawn());
+        drop(holder);
+        let _ = self.say.try_send(FromAgent::InForce(in_force));
+        self.note_version();
+        Response::Applied(position)
+    }
+
+    /// Says upwards what this front acted on, until it is taken.
+    async fn say_version(&self, home: &Dialer) {
+        let record = self.recorder.lock().record(wall_ms());
+        if let Ok(Response::Written) =
+            home.ask(Request::Audit(vec![record.clone()]), self.patience() * 3).await
+        {
+            self.recorder.lock().taken(&record);
+        }
+    }
+
+    /// The front stops: what is cached is dropped, and the home site need not wait for the lease.
+    pub(super) async fn leave(&self) {
+        self.cache.clear(steady_ns());
+        let _ = self.above().ask(Request::Leave, self.patience()).await;
+    }
+}
--- /dev/null
+++ b/crates/lilacpitch-edge/src/fleet/locate.rs
@@ -0,0 +1,179 @@
+//! Locates: from the cache where it is borne out, else one question to the sites that could know.
+
+use super::{Agent, Counters, FromAgent};
+use lilacpitch_fleet::error::LocateError;
+use lilacpitch_fleet::locate::{Answer, Locate, Site};
+use lilacpitch_fleet::message::Request;
+use lilacpitch_link::steady_ns;
+use lilacpitch_register::summary::shard_of;
+use lilacpitch_register::{Key, Number, Query};
+use parking_lot::Mutex;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::watch;
+
+const SHARDS: usize = 16;
+
+/// A question about a number that is out: who else wants it waits for the same answer.
+#[derive(Clone)]
+struct Flight {
+    read_from_ns: u64,
+    answer: watch::Receiver<Option<Arc<Answer>>>,
+}
+
+/// Questions that are out, by number.
+#[derive(Default)]
+pub(super) struct Flights([Mutex<HashMap<Number, Flight>>; SHARDS]);
+
+impl Flights {
+    fn of(&self, number: &Number) -> &Mutex<HashMap<Number, Flight>> {
+        &self.0[shard_of(number.hash64(), SHARDS)]
+    }
+}
+
+impl Agent {
+    /// Where a call's number is reached: the front hears it in time, or goes on without.
+    pub(super) async fn locate_for_call(self: Arc<Self>, call: u64, number: &str, patience: Duration) {
+        Counters::one(&self.counters.located);
+        let Ok(number) = Number::new(number) else {
+            return self.located(call, None, 0).await;
+        };
+        match self.number(&number, patience).await {
+            Ok((answer, good_until_ns)) => {
+                let pool = answer.newest().map(|row| row.trunk_group.clone());
+                self.located(call, pool, good_until_ns).await;
+            }
+            Err(error) => {
+                tracing::debug!(call, %error, "not located");
+                self.located(call, None, 0).await;
+            }
+        }
+    }
+
+    async fn located(&self, call: u64, pool: Option<String>, good_until_ns: u64) {
+        let _ = self.say.send(FromAgent::Located { call, pool, good_until_ns }).await;
+    }
+
+    /// What is known of where a number is reached, and until when by the steady clock that may be used.
+    pub(super) async fn number(
+        self: &Arc<Self>,
+        number: &Number,
+        patience: Duration,
+    ) -> Result<(Arc<Answer>, u64), LocateError> {
+        if let Some((answer, until_ns)) = self.cached(number, true) {
+            Counters::one(&self.counters.from_cache);
+            return Ok((Arc::new(answer), until_ns));
+        }
+        let mut flight = self.fly(number)?;
+        let waited = tokio::time::timeout(patience, flight.answer.wait_for(Option::is_some)).await;
+        match waited {
+            Ok(Ok(answer)) => match answer.clone() {
+                Some(answer) => Ok((answer, u64::MAX)),
+                None => Err(LocateError::Late),
+            },
+            // In time there is only what is cached: it says of each site that it was not asked.
+            _ => match self.cached(number, false) {
+                Some((mut answer, until_ns)) => {
+                    let not_asked = |site: &mut Site| *site = Site::NotReached(LocateError::Late);
+                    answer.sites.values_mut().for_each(not_asked);
+                    answer.complete = false;
+                    Ok((Arc::new(answer), until_ns))
+                }
+                None => Err(LocateError::Late),
+            },
+        }
+    }
+
+    /// What is cached of a number, if it may be used now: the lease is judged after the look.
+    fn cached(&self, number: &Number, borne_out: bool) -> Option<(Answer, u64)> {
+        let answer = self.cache.get(number)?;
+        let (until, position) = {
+            let holder = self.holder.lock();
+            (holder.usable(steady_ns()), holder.position().unwrap_or_default())
+        };
+        let until_ns = match until {
+            Ok(until_ns) => until_ns,
+            Err(_) if !self.guards.leases => u64::MAX,
+            Err(_) => return None,
+        };
+        let borne = !borne_out || self.catalogue.read().bears_out(steady_ns(), number.hash64(), position);
+        borne.then_some((answer, until_ns))
+    }
+
+    /// Joins the question that is out for a number, or begins one.
+    fn fly(self: &Arc<Self>, number: &Number) -> Result<Flight, LocateError> {
+        let mut flights = self.flights.of(number).lock();
+        let oldest_ns = steady_ns().saturating_sub(self.of.terms.settle_ns);
+        // One that read before what must be found by now is not waited for.
+        if let Some(flight) = flights.get(number).filter(|flight| flight.read_from_ns >= oldest_ns) {
+            Counters::one(&self.counters.joined);
+            return Ok(flight.clone());
+        }
+        if self.questions.available_permits() == 0 {
+            return Err(LocateError::TooMany);
+        }
+        let query = Query::reached(number.clone());
+        let locate = Locate::begin(steady_ns(), query, None, 16, &self.catalogue.read(), self.guards);
+        let (give, answer) = watch::channel(None);
+        let flight = Flight { read_from_ns: locate.read_from_ns(), answer };
+        flights.insert(number.clone(), flight.clone());
+        drop(flights);
+        let (agent, number, read_from_ns) = (self.clone(), number.clone(), flight.read_from_ns);
+        tokio::spawn(async move {
+            let budget = Duration::from_nanos(agent.of.locate_longest_ns);
+            let answer = agent.ask_sites(locate, true, budget).await;
+            if answer.complete && !agent.cache.fill(read_from_ns, &number, &answer) {
+                Counters::one(&agent.counters.not_filled);
+            }
+            {
+                let mut flights = agent.flights.of(&number).lock();
+                if flights.get(&number).is_some_and(|flight| flight.read_from_ns == read_from_ns) {
+                    flights.remove(&number);
+                }
+            }
+            give.send_replace(Some(Arc::new(answer)));
+        });
+        Ok(flight)
+    }
+
+    /// Asks the open sites of a question at once, within a time.
+    async fn ask_sites(self: &Arc<Self>, mut locate: Locate, urgent: bool, budget: Duration) -> Answer {
+        let _permit = self.questions.acquire().await;
+        let open: Vec<String> = locate.open().map(String::from).collect();
+        let mut asking = tokio::task::JoinSet::new();
+        for name in open {
+            let Some(site) = self.sites.iter().position(|(site, _)| *site == name) else { continue };
+            Counters::one(&self.counters.asked);
+            let (query, after) = (locate.query.clone(), locate.after.clone());
+            let request = Request::Find { query, after, limit: locate.limit() as u32, urgent };
+            let agent = self.clone();
+            asking.spawn(async move { (name, agent.asks.ask(site, urgent, budget, request).await) });
+        }
+        let answers = async {
+            while let Some(answered) = asking.join_next().await {
+                if let Ok((site, said)) = answered {
+                    locate.answered(&site, said);
+                }
+            }
+        };
+        let _ = tokio::time::timeout(budget, answers).await;
+        let answer = locate.answer();
+        if !answer.complete {
+            Counters::one(&self.counters.incomplete);
+        }
+        answer
+    }
+
+    /// An operator's search.
+    pub(super) async fn search(
+        self: &Arc<Self>,
+        query: Query,
+        after: Option<Key>,
+        limit: usize,
+        budget: Duration,
+    ) -> Answer {
+        let locate = Locate::begin(steady_ns(), query, after, limit, &self.catalogue.read(), self.guards);
+        self.ask_sites(locate, false, budget).await
+    }
+}
--- /dev/null
+++ b/crates/lilacpitch-edge/src/fleet/mod.rs
@@ -0,0 +1,284 @@
+//! The agent of a front in the fleet: on threads of its own, beside the front's one loop, with bounded channels
+//! between. It holds the cache, asks sites, takes purges, keeps the lease, writes the front's rows and says which
+//! version the front acts on.
+//!
+//! **Locks.** The holder, then a shard of the cache, then its list of recent purges; the catalogue, the recorder, the
+//! rows and the flights each alone. None is held across an await.
+
+mod ask;
+mod follow;
+mod locate;
+mod page;
+mod rows;
+
+use crate::front::RowNews;
+use lilacpitch_config::{Edge, FleetOf, Pools};
+use lilacpitch_fleet::asker::Timing;
+use lilacpitch_fleet::audit::{Recorder, Version};
+use lilacpitch_fleet::cache::Cache;
+use lilacpitch_fleet::catalogue::Catalogue;
+use lilacpitch_fleet::holder::Holder;
+use lilacpitch_fleet::message::Role;
+use lilacpitch_fleet::Guards;
+use lilacpitch_link::{steady_ns, Dialer, Me, Serve};
+use lilacpitch_peers::Keys;
+use parking_lot::{Mutex, RwLock};
+use std::hash::Hasher;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, OnceLock, Weak};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::sync::{mpsc, oneshot, watch, Semaphore};
+
+/// Messages of the front that may wait for the agent.
+const QUEUE: usize = 4_096;
+/// How long a connection may take to be made and greeted.
+const CONNECT: Duration = Duration::from_millis(500);
+
+/// What the front's loop says to the agent.
+#[derive(Debug)]
+pub(crate) enum ToAgent {
+    /// Where is this number?
+    Locate { call: u64, number: String, patience: Duration },
+    /// A row came or went.
+    Row(RowNews),
+    /// Rows were lost on the way: all that there are follow.
+    Rows,
+    /// The pool list that the front follows now.
+    List(u64),
+    /// A page for people, by its target.
+    Page(String, oneshot::Sender<Option<String>>),
+}
+
+/// What the agent says to the front's loop.
+#[derive(Debug)]
+pub(crate) enum FromAgent {
+    /// The pool through which a call's number is reached, good until a moment of the steady clock.
+    Located { call: u64, pool: Option<String>, good_until_ns: u64 },
+    /// Whether the settings version is in force.
+    InForce(bool),
+    /// The rows are wanted, all of them.
+    RowsWanted,
+}
+
+/// What is counted.
+#[derive(Debug, Default)]
+pub(crate) struct Counters {
+    located: AtomicU64,
+    from_cache: AtomicU64,
+    asked: AtomicU64,
+    incomplete: AtomicU64,
+    joined: AtomicU64,
+    not_filled: AtomicU64,
+    orders: AtomicU64,
+    fresh_starts: AtomicU64,
+    written: AtomicU64,
+    summaries_refused: AtomicU64,
+}
+
+impl Counters {
+    fn one(counter: &AtomicU64) {
+        counter.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+pub(crate) struct Agent {
+    of: FleetOf,
+    me: Me,
+    guards: Guards,
+    settings: u64,
+    list: AtomicU64,
+    home: Vec<Arc<Dialer>>,
+    /// All sites, in the settings' order, and the ways to their processes.
+    sites: Vec<(String, Vec<Arc<Dialer>>)>,
+    /// Which process of the home site is followed now.
+    above: Mutex<usize>,
+    holder: Mutex<Holder>,
+    cache: Cache,
+    catalogue: RwLock<Catalogue>,
+    recorder: Mutex<Recorder>,
+    rows: Mutex<rows::Rows>,
+    rows_changed: watch::Sender<u64>,
+    flights: locate::Flights,
+    asks: ask::Asks,
+    questions: Semaphore,
+    say: mpsc::Sender<FromAgent>,
+    counters: Counters,
+}
+
+/// What answers on links that are made before the agent is whole.
+#[derive(Default)]
+struct Door(OnceLock<Weak<Agent>>);
+
+impl Serve for Door {
+    fn serve(
+        self: Arc<Self>,
+        from: Arc<lilacpitch_link::Link>,
+        ask: lilacpitch_fleet::message::Request,
+    ) -> lilacpitch_link::Served {
+        match self.0.get().and_then(Weak::upgrade) {
+            Some(agent) => Box::pin(async move { agent.answer(&from, ask) }),
+            None => Box::pin(std::future::pending()),
+        }
+    }
+}
+
+/// The front's end of the channels to its agent.
+pub(crate) struct Handle {
+    say: mpsc::Sender<ToAgent>,
+    /// Rows were lost for want of room: they are all said again once there is some.
+    rows_lost: bool,
+}
+
+impl Handle {
+    /// Says something that may be lost; whether it was taken.
+    pub fn say(&self, what: ToAgent) -> bool {
+        self.say.try_send(what).is_ok()
+    }
+
+    /// Says a row. If the agent does not keep up, all rows are wanted again later.
+    pub fn row(&mut self, row: RowNews) {
+        self.rows_lost |= !self.say(ToAgent::Row(row));
+    }
+
+    /// Whether rows were lost and there is room again: then all are to be said.
+    pub fn rows_are_due(&mut self) -> bool {
+        let due = self.rows_lost && self.say.capacity() > QUEUE / 2 && self.say(ToAgent::Rows);
+        self.rows_lost &= !due;
+        due
+    }
+
+    /// For pages.
+    pub fn pages(&self) -> mpsc::Sender<ToAgent> {
+        self.say.clone()
+    }
+}
+
+/// The digest of what a front's decisions rest on in its settings: the same for all fronts of one version.
+pub(crate) fn settings_digest(edge: &Edge) -> u64 {
+    let text =
+        format!("{:?} {:?} {:?} {:?} {:?}", edge.classes, edge.rules, edge.timing, edge.limits, edge.pools);
+    xxhash_rust::xxh3::xxh3_64(text.as_bytes())
+}
+
+/// The digest of a pool list.
+pub(crate) fn list_digest(pools: &Pools) -> u64 {
+    let mut hash = xxhash_rust::xxh3::Xxh3::new();
+    hash.write(format!("{:?}", pools.servers).as_bytes());
+    hash.finish()
+}
+
+fn wall_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
+}
+
+/// Starts the agent on threads of its own; it ends with the process. What it says comes out of the receiver.
+pub(crate) fn start(
+    edge: &Edge,
+    of: &FleetOf,
+    guards: Guards,
+    seed: u64,
+) -> Result<(Handle, mpsc::Receiver<FromAgent>), String> {
+    let text = std::fs::read_to_string(&of.key_file).map_err(|e| format!("{}: {e}", of.key_file))?;
+    let keys = Keys::from_text(&text).map_err(|e| format!("{}: {e}", of.key_file))?;
+    let life = SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |since| since.as_nanos() as u64);
+    let me = Me { name: edge.name.clone(), life, role: Role::Front, keys };
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(of.threads)
+        .thread_name("fleet")
+        .enable_all()
+        .build()
+        .map_err(|e| format!("no threads for the fleet: {e}"))?;
+    let (say, hear) = mpsc::channel(QUEUE);
+    let (to_agent, from_front) = mpsc::channel(QUEUE);
+    let door = Arc::new(Door::default());
+    let dial = |address: &std::net::SocketAddr| {
+        Arc::new(Dialer::new(*address, me.clone(), door.clone() as Arc<dyn Serve>, CONNECT))
+    };
+    let sites: Vec<(String, Vec<Arc<Dialer>>)> =
+        of.sites.iter().map(|site| (site.name.clone(), site.processes.iter().map(dial).collect())).collect();
+    let home = sites.iter().find(|(name, _)| *name == of.home).map_or(Vec::new(), |(_, ways)| ways.clone());
+    let settings = settings_digest(edge);
+    let names = of.sites.iter().map(|site| site.name.as_str());
+    let counts: Vec<usize> = sites.iter().map(|(_, ways)| ways.len()).collect();
+    let timing = Timing { aim_ns: of.terms.ask_ns, tick_ns: edge.timing.tick_ns };
+    let (asks, asking) = ask::Asks::new(&counts, timing, seed);
+    let agent = Arc::new(Agent {
+        guards,
+        settings,
+        list: AtomicU64::new(0),
+        home,
+        sites,
+        above: Mutex::new(seed as usize),
+        holder: Mutex::new(Holder::new(settings)),
+        cache: Cache::new(of.cache, guards),
+        catalogue: RwLock::new(Catalogue::new(names, of.terms.settle_ns, guards)),
+        recorder: Mutex::new(Recorder::new(&edge.name, life)),
+        rows: Mutex::new(rows::Rows::default()),
+        rows_changed: watch::Sender::new(0),
+        flights: locate::Flights::default(),
+        asks,
+        questions: Semaphore::new(of.questions),
+        say,
+        counters: Counters::default(),
+        me,
+        of: of.clone(),
+    });
+    let _ = door.0.set(Arc::downgrade(&agent));
+    std::thread::Builder::new()
+        .name("fleet".into())
+        .spawn(move || {
+            runtime.block_on(async move {
+                tokio::spawn(follow::follow(agent.clone()));
+                tokio::spawn(follow::poll(agent.clone()));
+                tokio::spawn(rows::write(agent.clone()));
+                tokio::spawn(ask::run(agent.clone(), asking));
+                listen(agent, from_front).await;
+            });
+        })
+        .map_err(|e| format!("no thread for the fleet: {e}"))?;
+    Ok((Handle { say: to_agent, rows_lost: false }, hear))
+}
+
+/// Takes what the front says, until it is gone.
+async fn listen(agent: Arc<Agent>, mut from_front: mpsc::Receiver<ToAgent>) {
+    while let Some(said) = from_front.recv().await {
+        match said {
+            ToAgent::Locate { call, number, patience } => {
+                let agent = agent.clone();
+                tokio::spawn(async move { agent.locate_for_call(call, &number, patience).await });
+            }
+            ToAgent::Row(row) => agent.row(row),
+            ToAgent::Rows => agent.rows_anew(),
+            ToAgent::List(digest) => {
+                agent.list.store(digest, Ordering::Relaxed);
+                agent.note_version();
+            }
+            ToAgent::Page(target, give) => {
+                let agent = agent.clone();
+                tokio::spawn(async move { drop(give.send(agent.page(&target).await)) });
+            }
+        }
+    }
+    agent.leave().await;
+}
+
+impl Agent {
+    /// Notes what the front acts on now, if that has changed.
+    fn note_version(&self) {
+        let (position, usable, in_force) = {
+            let holder = self.holder.lock();
+            let usable = holder.usable(steady_ns()).is_ok();
+            (holder.position().unwrap_or_default(), usable, !holder.is_withdrawn())
+        };
+        let version = Version {
+            settings: self.settings,
+            list: self.list.load(Ordering::Relaxed),
+            build: env!("CARGO_PKG_VERSION").into(),
+            caches: usable,
+            takes_calls: in_force,
+        };
+        if self.guards.records || self.recorder.lock().last().is_none() {
+            self.recorder.lock().note(wall_ms(), version, position);
+        }
+    }
+}
--- /dev/null
+++ b/crates/lilacpitch-edge/src/fleet/rows.rs
@@ -0,0 +1,112 @@
+//! The front's rows on their way to its home site: written until they are acknowledged, and all again when the site's
+//! register is another one.
+
+use super::{Agent, Counters, FromAgent};
+use crate::front::RowNews;
+use lilacpitch_fleet::message::{Refusal, Request, Response, RowChange};
+use lilacpitch_register::{Holder, Key, Number, Row};
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Row changes in one message.
+const BATCH: usize = 512;
+/// Changes that wait; past them all rows are asked for anew.
+const MOST: usize = 65_536;
+/// The gap between tries.
+const AGAIN: Duration = Duration::from_millis(50);
+
+#[derive(Default)]
+pub(super) struct Rows {
+    waiting: VecDeque<RowChange>,
+    register: Option<u64>,
+}
+
+impl Rows {
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+}
+
+impl Agent {
+    pub(super) fn row(&self, news: RowNews) {
+        // The front checked it: what is not a number never was one of a call.
+        let Ok(number) = Number::new(&news.number) else { return };
+        let (front, life) = (self.me.name.clone(), self.me.life);
+        let holder = Holder { name: news.holder, front, life, serial: news.serial };
+        let key = Key { number, kind: news.kind, holder };
+        let change = if news.there {
+            let (class, trunk_group, since_ms) = (news.class, news.trunk_group, news.since_ms);
+            RowChange::Put(Row { key, class, trunk_group, since_ms })
+        } else {
+            RowChange::Withdraw(key)
+        };
+        let mut rows = self.rows.lock();
+        rows.waiting.push_back(change);
+        if rows.waiting.len() > MOST {
+            // The site can't be reached for long: what there is then is said once it can.
+            rows.waiting.clear();
+            rows.register = None;
+        }
+        drop(rows);
+        self.rows_changed.send_modify(|count| *count += 1);
+    }
+
+    /// Rows were lost on the way from the front: all that it has follow, and what went meanwhile the site sweeps out
+    /// with the rest of this life's at its end.
+    pub(super) fn rows_anew(&self) {
+        self.rows.lock().waiting.clear();
+        let _ = self.say.try_send(FromAgent::RowsWanted);
+    }
+
+    /// The home site's register, as it says with each lease.
+    pub(super) fn register_is(&self, register: u64) {
+        let mut rows = self.rows.lock();
+        if rows.register != Some(register) {
+            let first = rows.register.is_none() && rows.waiting.len() < MOST;
+            rows.register = Some(register);
+            drop(rows);
+            if !first {
+                tracing::info!("the home site's register is another one: all rows are written again");
+            }
+            let _ = self.say.try_send(FromAgent::RowsWanted);
+        }
+    }
+}
+
+/// Writes what waits, in its order.
+pub(super) async fn write(agent: Arc<Agent>) {
+    let mut changed = agent.rows_changed.subscribe();
+    loop {
+        changed.borrow_and_update();
+        let batch: Vec<RowChange> = agent.rows.lock().waiting.iter().take(BATCH).cloned().collect();
+        if batch.is_empty() {
+            if changed.changed().await.is_err() {
+                return;
+            }
+            continue;
+        }
+        let count = batch.len();
+        match agent.above().ask(Request::Write(batch), agent.patience() * 2).await {
+            Ok(Response::Written) => {
+                Counters::one(&agent.counters.written);
+                let mut rows = agent.rows.lock();
+                let count = count.min(rows.waiting.len());
+                rows.waiting.drain(..count);
+            }
+            Ok(Response::Refused(Refusal::Malformed(why))) => {
+                // It would be refused for ever: one by one, so that only what is wrong is lost.
+                tracing::error!(why, "a row refused");
+                agent.rows.lock().waiting.pop_front();
+            }
+            Ok(other) => {
+                tracing::debug!(?other, "rows not written yet");
+                tokio::time::sleep(AGAIN).await;
+            }
+            Err(error) => {
+                tracing::debug!(%error, "rows not written yet");
+                tokio::time::sleep(AGAIN).await;
+            }
+        }
+    }
+}
--- a/crates/lilacpitch-edge/src/front/calls.rs
+++ b/crates/lilacpitch-edge/src/front/calls.rs
@@ -25,9 +25,11 @@
     pub name: String,
     /// What servers and logs know it by.
     label: String,
-    class: String,
-    number: Option<String>,
+    pub class: String,
+    pub number: Option<String>,
     pub stands: bool,
+    /// What the module is told once the fleet has said where the number is, and since when that is waited for.
+    pub waits: Option<(interface::Call, Nanos)>,
     /// The attempt that is queued, out or standing.
     pub attempt: Option<AttemptId>,
     attempts: u32,
@@ -36,7 +38,12 @@
 
 impl Front {
     /// Takes a call, or says why not, with the id that the caller gave it.
-    pub(super) fn take_call(&mut self, caller: CallerId, asked: Asked) -> Result<(), (&'static str, String)> {
+    pub(super) fn take_call(
+        &mut self,
+        caller: CallerId,
+        asked: Asked,
+        effects: &mut Vec<Effect>,
+    ) -> Result<(), (&'static str, String)> {
         let limits = &self.settings.limits;
         let no = |reason| Err((reason, asked.call.clone()));
         let Some(own) = self.callers.get_mut(&caller) else { return no("unknown caller") };
@@ -78,6 +85,13 @@
             again: false,
             in_transit: false,
         };
+        let ask = self.asks_fleet(&asked, call.budget_ns);
+        if let (Some(patience_ns), Some(number)) = (ask, asked.number.clone()) {
+            self.timers.set(Timer::Locate(id), self.now + patience_ns);
+            effects.push(Effect::Locate { call: id, number, patience_ns });
+        } else {
+            self.follow.push_back(Event::Call(call));
+        }
         self.calls.insert(
             id,
             Call {
@@ -87,12 +101,12 @@
                 class: asked.class,
                 number: asked.number,
                 stands: false,
+                waits: ask.map(|_| (call, self.now)),
                 attempt: None,
                 attempts: 0,
                 span,
             },
         );
-        self.follow.push_back(Event::Call(call));
         Ok(())
     }
 
@@ -201,6 +215,7 @@
         if !self.guards.one_answer {
             effects.push(Effect::ToCaller(caller, answer.encode()));
         }
+        self.row_stands(call, server);
         self.follow.push_back(Event::Standing { call, attempt: hop });
         if report.free.is_some() {
             self.follow.push_back(Event::Reported { server, report });
@@ -229,6 +244,8 @@
     /// Takes a call out of the tables: whoever has it in hand owes its one answer, nobody else can.
     pub(super) fn remove_call(&mut self, id: u64) -> Option<Call> {
         let call = self.calls.remove(&id)?;
+        self.timers.clear(Timer::Locate(id));
+        self.row_ended(id, &call);
         if let Some(own) = self.callers.get_mut(&call.caller) {
             own.remove(&call.name);
         }
@@ -250,6 +267,7 @@
     /// A caller's connection has ended: nothing more is owed to it, and nothing of its calls stays at servers.
     pub(super) fn on_caller_closed(&mut self, caller: CallerId, effects: &mut Vec<Effect>) {
         let Some(own) = self.callers.remove(&caller) else { return };
+        self.row_left(caller);
         for id in own.into_values() {
             if self.calls.get(&id).is_some_and(|call| call.stands) {
                 self.close_call(id, effects);
@@ -274,7 +292,9 @@
     /// Gives up a call without an answer, on the caller's or the operator's word: its attempt is cancelled, and
     /// the module told that nothing more is owed.
     pub(super) fn abandon(&mut self, id: u64, effects: &mut Vec<Effect>) {
-        self.follow.push_back(Event::CallerGone(id));
+        if self.calls.get(&id).is_some_and(|call| call.waits.is_none()) {
+            self.follow.push_back(Event::CallerGone(id));
+        }
         let Some(attempt) = self.calls.get_mut(&id).and_then(|call| call.attempt.take()) else { return };
         let Some(ended) = self.attempts.remove(&attempt) else { return };
         self.forget_attempt(attempt, ended.server);
--- a/crates/lilacpitch-edge/src/front/counters.rs
+++ b/crates/lilacpitch-edge/src/front/counters.rs
@@ -47,5 +47,8 @@
     pool_lists_taken: "Pool lists taken.",
     pool_list_refused: "Pool lists that could not be read.",
     facts_told: "Facts about servers told by other fronts.",
+    calls_located: "Calls whose number the fleet's register knew.",
+    calls_not_located: "Calls whose number it did not know, or not in time.",
+    calls_turned_away: "Calls refused while the settings version was withdrawn.",
     callers_cut_off: "Callers cut off for not reading.",
 }
--- a/crates/lilacpitch-edge/src/front/mod.rs
+++ b/crates/lilacpitch-edge/src/front/mod.rs
@@ -10,12 +10,14 @@
 mod calls;
 mod counters;
 mod facts;
+mod fleet;
 mod links;
 mod pools;
 mod site;
 mod timers;
 
 pub use counters::Counters;
+pub use fleet::RowNews;
 pub use pools::ListedServer;
 
 use attempt::{Attempt, AttemptState};
@@ -73,6 +75,14 @@
     Told(u64, Vec<lilacpitch_peers::Fact>),
     /// What other fronts, by their origins, have lately met at servers.
     Heard(Vec<(u64, lilacpitch_peers::Fact)>),
+    /// A caller said, as it connected, at which number it is reached.
+    CallerNumber(CallerId, String),
+    /// The fleet's answer for a call that waits for it: the pool through which its number is reached, if any.
+    Located(u64, Option<String>),
+    /// Whether this front may act on its settings version: without, it takes no new calls and ends those it has.
+    InForce(bool),
+    /// All rows that this front has are wanted again.
+    RowsWanted,
     /// The operator asks the front to stop.
     Stop,
     /// Time has passed.
@@ -99,6 +109,17 @@
     },
     /// End a connection to a server, once what was given to it is written. No `LinkDown` follows.
     Disconnect(LinkId),
+    /// Where is this number? Answered by `Located`, or too late.
+    Locate {
+        /// The call that waits.
+        call: u64,
+        /// Its number.
+        number: String,
+        /// For so long.
+        patience_ns: Nanos,
+    },
+    /// A row of the fleet's register has changed.
+    Row(RowNews),
     /// The front has stopped: nothing is owed any more.
     Stopped,
 }
@@ -146,6 +167,7 @@
     stopped: bool,
     standstill: Standstill,
     counters: Counters,
+    fleet: Option<fleet::Fleet>,
 }
 
 impl Front {
@@ -194,6 +216,7 @@
             stopped: false,
             standstill: Standstill::default(),
             counters: Counters::default(),
+            fleet: settings.fleet.as_ref().map(fleet::Fleet::new),
             settings,
         }
     }
@@ -217,10 +240,17 @@
             Input::PoolList(pools) => self.on_pool_list(&pools, effects),
             Input::Told(origin, facts) => self.on_told(origin, facts),
             Input::Heard(heard) => self.on_heard(heard),
+            Input::CallerNumber(caller, number) => self.on_caller_number(caller, number),
+            Input::Located(call, pool) => self.on_located(call, pool.as_deref()),
+            Input::InForce(in_force) => self.on_in_force(in_force, effects),
+            Input::RowsWanted => self.on_rows_wanted(),
             Input::Stop => self.on_stop(),
             Input::Timeout => {}
         }
         self.run_follow(effects);
+        if let Some(fleet) = &mut self.fleet {
+            effects.extend(fleet.rows.drain(..).map(Effect::Row));
+        }
         if self.stopping && !self.stopped && self.calls.is_empty() {
             self.stopped = true;
             effects.push(Effect::Stopped);
@@ -267,7 +297,8 @@
                 }
                 Timer::Resend(attempt) => self.resend(attempt, effects),
                 Timer::Reconnect(server) => self.connect(server, effects),
-                Timer::Stop => self.stop_now(effects),
+                Timer::Locate(call) => self.on_located(call, None),
+                Timer::Stop => self.stop_now("the front is stopping", effects),
             }
             self.run_follow(effects);
         }
@@ -297,7 +328,10 @@
         match FromCaller::decode(text) {
             Ok(FromCaller::Setup { call, class, pool, number, budget_ms }) => {
                 let asked = calls::Asked { call, class, pool, number, budget_ms };
-                if let Err((reason, call)) = self.take_call(caller, asked) {
+                if self.is_out_of_force() {
+                    return self.turn_away(caller, asked, effects);
+                }
+                if let Err((reason, call)) = self.take_call(caller, asked, effects) {
                     self.error(caller, reason.into(), Some(call), effects);
                 }
             }
@@ -324,20 +358,19 @@
         self.timers.set(Timer::Stop, self.now + self.settings.timing.stop_ns);
     }
 
-    /// The time that a stop grants is over: what is owed is answered, what stands is released.
-    fn stop_now(&mut self, effects: &mut Vec<Effect>) {
-        const CAUSE: &str = "the front is stopping";
+    /// Nothing goes on: what is owed is answered, what stands is released.
+    fn stop_now(&mut self, cause: &str, effects: &mut Vec<Effect>) {
         let ids: Vec<u64> = self.calls.keys().copied().collect();
         for id in ids {
             let Some(call) = self.calls.get(&id) else { continue };
             let (caller, name, stands) = (call.caller, call.name.clone(), call.stands);
             if stands {
                 self.close_call(id, effects);
-                let text = ToCaller::Released { call: name, cause: CAUSE.into() }.encode();
+                let text = ToCaller::Released { call: name, cause: cause.into() }.encode();
                 effects.push(Effect::ToCaller(caller, text));
             } else {
                 self.abandon(id, effects);
-                self.fail(id, CAUSE, effects);
+                self.fail(id, cause, effects);
             }
         }
     }
--- a/crates/lilacpitch-edge/src/front/site.rs
+++ b/crates/lilacpitch-edge/src/front/site.rs
@@ -44,6 +44,11 @@
         number(&mut self.pools, name)
     }
 
+    /// The name of a pool's number.
+    pub fn pool_name(&self, number: u32) -> Option<&str> {
+        self.pools.iter().find(|(_, known)| **known == number).map(|(name, _)| name.as_str())
+    }
+
     pub fn zone_listed(&mut self, name: &str) -> u32 {
         number(&mut self.zones, name)
     }
--- a/crates/lilacpitch-edge/src/front/timers.rs
+++ b/crates/lilacpitch-edge/src/front/timers.rs
@@ -13,6 +13,8 @@
     Resend(AttemptId),
     /// A server is to be tried again.
     Reconnect(ServerId),
+    /// A call has waited for the fleet long enough.
+    Locate(u64),
     /// The time that a stop grants is up.
     Stop,
 }
--- a/crates/lilacpitch-edge/src/lib.rs
+++ b/crates/lilacpitch-edge/src/lib.rs
@@ -7,5 +7,6 @@
 #![warn(missing_docs)]
 
 pub mod cli;
+mod fleet;
 pub mod front;
 pub mod net;
--- a/crates/lilacpitch-edge/src/net/driver.rs
+++ b/crates/lilacpitch-edge/src/net/driver.rs
@@ -4,6 +4,7 @@
 use super::pump::{open, serve_handshake, Heard, Outgoing, Pump};
 use super::talk::Talk;
 use super::{file, metrics, Clock};
+use crate::fleet::{self, FromAgent, ToAgent};
 use crate::front::{CallerId, Effect, Front, Guards, Input, LinkId};
 use lilacpitch_config::{Edge, Pools};
 use lilacpitch_protocol::frame::Role;
@@ -52,6 +53,7 @@
     next_caller: CallerId,
     effects: Vec<Effect>,
     talk: Option<Talk>,
+    agent: Option<fleet::Handle>,
     stopped: bool,
 }
 
@@ -61,6 +63,18 @@
     guards: Guards,
     ready: impl FnOnce(Ready),
     stop: impl std::future::Future<Output = ()>,
+) -> Result<(), RunError> {
+    run_with(settings, guards, lilacpitch_fleet::Guards::default(), ready, stop).await
+}
+
+/// With guards of the fleet's promises switched off too: for the laboratory.
+#[doc(hidden)]
+pub async fn run_with(
+    settings: Edge,
+    guards: Guards,
+    promises: lilacpitch_fleet::Guards,
+    ready: impl FnOnce(Ready),
+    stop: impl std::future::Future<Output = ()>,
 ) -> Result<(), RunError> {
     let listener = listen(settings.listen).await?;
     let callers = listener.local_addr().map_err(|e| RunError::Listen(settings.listen, e))?;
@@ -68,15 +82,6 @@
     let list = settings.pool_list.clone();
     let seen = file::state(&list).map_err(|e| RunError::PoolFile(list.clone(), e))?;
     let pools = Pools::load(Path::new(&list))?.value;
-    let metrics = match settings.metrics {
-        None => None,
-        Some(address) => {
-            let listener = listen(address).await?;
-            let bound = listener.local_addr().map_err(|e| RunError::Listen(address, e))?;
-            tokio::task::spawn_local(metrics::serve(listener, news.clone()));
-            Some(bound)
-        }
-    };
     let every = Duration::from_nanos(settings.look_ns);
     let read = |path: &str| match Pools::load(Path::new(path)) {
         Ok(pools) => Ok(News::PoolList(pools.value)),
@@ -91,6 +96,32 @@
             Some(Talk::open(&settings.name, peers, clock.now(), rng.next_u64(), every, &news).await?)
         }
     };
+    let agent = match &settings.fleet {
+        None => None,
+        Some(of) => {
+            let started = fleet::start(&settings, of, promises, rng.next_u64()).map_err(RunError::Fleet)?;
+            let (agent, mut said) = started;
+            let news = news.clone();
+            tokio::task::spawn_local(async move {
+                while let Some(said) = said.recv().await {
+                    if news.send(News::Fleet(said)).await.is_err() {
+                        return;
+                    }
+                }
+            });
+            Some(agent)
+        }
+    };
+    let metrics = match settings.metrics {
+        None => None,
+        Some(address) => {
+            let listener = listen(address).await?;
+            let bound = listener.local_addr().map_err(|e| RunError::Listen(address, e))?;
+            let agent = agent.as_ref().map(fleet::Handle::pages);
+            tokio::task::spawn_local(metrics::serve(listener, news.clone(), agent));
+            Some(bound)
+        }
+    };
     let front = Front::with_guards(settings.clone(), clock.now(), rng.next_u64(), guards);
     let mut driver = Driver {
         front,
@@ -103,9 +134,10 @@
         next_caller: 1,
         effects: Vec::new(),
         talk,
+        agent,
         stopped: false,
     };
-    driver.feed(Input::PoolList(pools));
+    driver.pool_list(pools);
     driver.talk(|talk, now, out| talk.peers.start(now, out));
     ready(Ready { callers, metrics });
     tracing::info!(%callers, ?metrics, "listening");
@@ -145,6 +177,12 @@
     Ok(())
 }
 
+/// The number at which a caller says it is reached: `/call/NUMBER`, `%23` for `#`.
+fn number_of(target: &str) -> Option<String> {
+    let number = target.strip_prefix("/call/")?.replace("%23", "#");
+    lilacpitch_register::Number::new(&number).ok().map(String::from)
+}
+
 async fn listen(address: SocketAddr) -> Result<TcpListener, RunError> {
     TcpListener::bind(address).await.map_err(|e| RunError::Listen(address, e))
 }
@@ -160,7 +198,8 @@
                 }
                 self.feed(input);
             }
-            News::PoolList(pools) => self.feed(Input::PoolList(pools)),
+            News::PoolList(pools) => self.pool_list(pools),
+            News::Fleet(said) => self.fleet_said(said),
             News::PoolListRefused(why) => {
                 tracing::error!(why, "pool list refused, the one in hand stays in force");
                 self.front.pool_list_refused();
@@ -178,6 +217,25 @@
         }
     }
 
+    fn pool_list(&mut self, pools: Pools) {
+        if let Some(agent) = &self.agent {
+            agent.say(ToAgent::List(fleet::list_digest(&pools)));
+        }
+        self.feed(Input::PoolList(pools));
+    }
+
+    fn fleet_said(&mut self, said: FromAgent) {
+        match said {
+            FromAgent::Located { call, pool, good_until_ns } => {
+                // Judged here again: this front may have stood still since the agent did.
+                let good = lilacpitch_link::steady_ns() < good_until_ns;
+                self.feed(Input::Located(call, pool.filter(|_| good)));
+            }
+            FromAgent::InForce(in_force) => self.feed(Input::InForce(in_force)),
+            FromAgent::RowsWanted => self.feed(Input::RowsWanted),
+        }
+    }
+
     fn feed(&mut self, input: Input) {
         let mut effects = std::mem::take(&mut self.effects);
         self.front.handle(self.clock.now(), input, &mut effects);
@@ -255,6 +313,21 @@
             Effect::Connect(link, address) => self.connect(link, address),
             // The queue's end ends the task, once what it holds is written.
             Effect::Disconnect(link) => drop(self.links.remove(&link)),
+            Effect::Locate { call, number, patience_ns } => {
+                let patience = Duration::from_nanos(patience_ns);
+                let agent = self.agent.as_ref();
+                if !agent.is_some_and(|agent| agent.say(ToAgent::Locate { call, number, patience })) {
+                    // The agent does not keep up: the call goes on without.
+                    self.tell_later(Input::Located(call, None));
+                }
+            }
+            Effect::Row(row) => {
+                let Some(agent) = &mut self.agent else { return };
+                agent.row(row);
+                if agent.rows_are_due() {
+                    self.tell_later(Input::RowsWanted);
+                }
+            }
             Effect::Stopped => self.stopped = true,
         }
     }
@@ -291,7 +364,10 @@
             )
             .await;
             match opened {
-                Ok(Ok((_, rest))) => {
+                Ok(Ok((target, rest))) => {
+                    if let Some(number) = number_of(&target) {
+                        let _ = news.send(News::Input(Input::CallerNumber(caller, number))).await;
+                    }
                     let pump = Pump { stream, role: Role::Server, clock, rng, quiet };
                     let heard = async |heard| match heard {
                         Heard::Text(text) => {
--- a/crates/lilacpitch-edge/src/net/metrics.rs
+++ b/crates/lilacpitch-edge/src/net/metrics.rs
@@ -2,6 +2,7 @@
 
 use super::news::News;
 use super::pump::read_head;
+use crate::fleet::ToAgent;
 use crate::front::Front;
 use lilacpitch_protocol::handshake::plain_response;
 use lilacpitch_protocol::http;
@@ -14,12 +15,20 @@
 /// How long one reader may take.
 const PATIENCE: Duration = Duration::from_secs(5);
 
-/// Serves one reader after the other, until nobody listens.
-pub(super) async fn serve(listener: TcpListener, news: mpsc::Sender<News>) {
+/// Serves readers, until nobody listens.
+pub(super) async fn serve(
+    listener: TcpListener,
+    news: mpsc::Sender<News>,
+    agent: Option<mpsc::Sender<ToAgent>>,
+) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let _ = tokio::time::timeout(PATIENCE, answer(stream, &news)).await;
+                let (news, agent) = (news.clone(), agent.clone());
+                // A search in the fleet may take a while: others are served meanwhile.
+                tokio::task::spawn_local(async move {
+                    let _ = tokio::time::timeout(PATIENCE, answer(stream, &news, agent.as_ref())).await;
+                });
             }
             Err(error) => {
                 tracing::warn!(%error, "metrics: not accepted");
@@ -32,7 +41,11 @@
     }
 }
 
-async fn answer(mut stream: TcpStream, news: &mpsc::Sender<News>) -> Option<()> {
+async fn answer(
+    mut stream: TcpStream,
+    news: &mpsc::Sender<News>,
+    agent: Option<&mpsc::Sender<ToAgent>>,
+) -> Option<()> {
     let response = match read_head(&mut stream, http::request).await {
         Ok((request, _)) if request.method == "GET" && ["/metrics", "/peers"].contains(&&*request.target) => {
             let (give, take) = oneshot::channel();
@@ -40,6 +53,14 @@
             news.send(ask).await.ok()?;
             plain_response("200 OK", "", &take.await.ok()?)
         }
+        Ok((request, _)) if request.method == "GET" && agent.is_some() => {
+            let (give, take) = oneshot::channel();
+            agent?.send(ToAgent::Page(request.target, give)).await.ok()?;
+            match take.await.ok()? {
+                Some(page) => plain_response("200 OK", "", &page),
+                None => plain_response("404 Not Found", "", "GET /metrics, /peers, /fleet or /locate\n"),
+            }
+        }
         Ok(_) => plain_response("404 Not Found", "", "GET /metrics or /peers\n"),
         Err(error) => plain_response("400 Bad Request", "", &format!("{error}\n")),
     };
--- a/crates/lilacpitch-edge/src/net/mod.rs
+++ b/crates/lilacpitch-edge/src/net/mod.rs
@@ -10,7 +10,7 @@
 mod pump;
 mod talk;
 
-pub use driver::{run, Ready};
+pub use driver::{run, run_with, Ready};
 pub use lilacpitch_net::Clock;
 pub use news::RunError;
 pub use pump::{open, serve_handshake, Ended, Heard, Outgoing, Pump};
--- a/crates/lilacpitch-edge/src/net/news.rs
+++ b/crates/lilacpitch-edge/src/net/news.rs
@@ -1,5 +1,6 @@
 //! What the tasks of the shell say to its driver, and why a front could not start.
 
+use crate::fleet::FromAgent;
 use crate::front::Input;
 use lilacpitch_config::{ConfigError, Pools};
 use lilacpitch_peers::Keys;
@@ -16,6 +17,7 @@
     KeysRefused(String),
     Metrics(oneshot::Sender<String>),
     Peers(oneshot::Sender<String>),
+    Fleet(FromAgent),
 }
 
 /// Why a front could not start.
@@ -33,6 +35,9 @@
     /// The key file of peers can't be read.
     #[error("{0}")]
     Keys(String),
+    /// The agent of the fleet can't start.
+    #[error("fleet: {0}")]
+    Fleet(String),
     /// The machine gave no signal handler or no randomness.
     #[error("{0}")]
     Machine(String),
--- /dev/null
+++ b/crates/lilacpitch-edge/tests/fleet_off.rs
@@ -0,0 +1,104 @@
+//! Without `fleet` in the settings a front has one thread and no socket but its own, and a front node knows of no fleet.
+
+mod common;
+
+use std::collections::BTreeSet;
+use std::io::{BufRead, BufReader};
+use std::path::Path;
+use std::process::{Child, Command, Stdio};
+
+const KEY: &str = "0101010101010101010101010101010101010101010101010101010101010101\n";
+
+/// The threads of a process, by name.
+fn threads(child: &Child) -> Vec<String> {
+    let tasks = std::fs::read_dir(format!("/proc/{}/task", child.id())).unwrap();
+    tasks
+        .map(|task| std::fs::read_to_string(task.unwrap().path().join("comm")).unwrap().trim().to_string())
+        .collect()
+}
+
+/// The TCP sockets that a process holds.
+fn tcp_sockets(child: &Child) -> usize {
+    let fds = std::fs::read_dir(format!("/proc/{}/fd", child.id())).unwrap();
+    let held: BTreeSet<String> = fds
+        .filter_map(|fd| std::fs::read_link(fd.unwrap().path()).ok())
+        .filter_map(|link| Some(link.to_str()?.strip_prefix("socket:[")?.strip_suffix(']')?.to_string()))
+        .collect();
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    let inodes = table.lines().skip(1).filter_map(|line| line.split_whitespace().nth(9));
+    inodes.filter(|inode| held.contains(*inode)).count()
+}
+
+fn run(dir: &Path, fleet: &str) -> Child {
+    std::fs::write(dir.join("key"), KEY).unwrap();
+    std::fs::write(dir.join("pools.cue"), "servers: []\n").unwrap();
+    let text = format!(
+        "name: \"edge-1\"\nlisten: \"127.0.0.1:0\"\nmetrics: \"127.0.0.1:0\"\npool_list: \"pools.cue\"\n\
+         classes: [{{name: \"voice\", aim: \"1s\", give_up: \"5s\", worth: 1}}]\n{fleet}\n"
+    );
+    std::fs::write(dir.join("edge.cue"), text).unwrap();
+    let mut child = Command::new(env!("CARGO_BIN_EXE_lilacpitch-edge"))
+        .args(["run", "--config"])
+        .arg(dir.join("edge.cue"))
+        .stdout(Stdio::piped())
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap();
+    let mut line = String::new();
+    BufReader::new(child.stdout.take().unwrap()).read_line(&mut line).unwrap();
+    assert!(line.starts_with('{'), "{line}");
+    child
+}
+
+#[test]
+fn a_front_without_a_fleet_has_one_thread_and_two_sockets_and_one_with_it_has_more() {
+    let dir = tempfile::tempdir().unwrap();
+    let mut child = run(dir.path(), "");
+    let (alone, sockets) = (threads(&child), tcp_sockets(&child));
+    child.kill().unwrap();
+    child.wait().unwrap();
+    assert_eq!(alone.len(), 1, "{alone:?}");
+    assert_eq!(sockets, 2, "callers and metrics");
+
+    // The same look sees an agent where there is one.
+    let fleet = "fleet: {home: \"x\", pool: \"p\", key_file: \"key\", \
+                 sites: [{name: \"x\", processes: [\"127.0.0.1:1\"]}]}";
+    let mut child = run(dir.path(), fleet);
+    let with = threads(&child);
+    child.kill().unwrap();
+    child.wait().unwrap();
+    assert!(with.iter().any(|name| name == "fleet"), "{with:?}");
+}
+
+#[test]
+fn a_front_node_starts_no_thread_and_refuses_no_start_whatever_the_fleet_is() {
+    let dir = tempfile::tempdir().unwrap();
+    // The settings of a node have no place for a fleet: one that is there is passed over like all that is not known.
+    let listen = lilacpitch_net::free_addresses(3).unwrap();
+    let config = serde_json::json!({
+        "name": "n0", "listen": listen[0].to_string(), "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "peer_listen": listen[1].to_string(), "peers": [listen[1].to_string()],
+        "peers_all": listen[1].to_string(), "coordinator": listen[2].to_string(),
+        "known": {"index": 0, "updates": []},
+        "fleet": {"home": "x"},
+        "settings": {"classes": [{"name": "voice", "aim_ns": 1e9, "deadline_ns": 5e9}], "tick_ns": 5e6},
+    });
+    let path = dir.path().join("config.json");
+    std::fs::write(&path, config.to_string()).unwrap();
+    let mut child = Command::new(env!("CARGO_BIN_EXE_lilacpitch-edge"))
+        .args(["node", "--config"])
+        .arg(&path)
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap();
+    let up = (0..500).any(|_| {
+        std::thread::sleep(common::ms(20));
+        std::net::TcpStream::connect(listen[0]).is_ok()
+    });
+    let alone = threads(&child);
+    child.kill().unwrap();
+    child.wait().unwrap();
+    assert!(up, "it listens");
+    assert_eq!(alone.len(), 1, "{alone:?}");
+}
--- a/crates/lilacpitch-fleet/src/locate.rs
+++ b/crates/lilacpitch-fleet/src/locate.rs
@@ -95,6 +95,11 @@
         Locate { query, after, limit, guards, sites, pages: Vec::new(), read_from_ns }
     }
 
+    /// At most so many rows are wanted.
+    pub fn limit(&self) -> usize {
+        self.limit
+    }
+
     /// Sites that have not answered.
     pub fn open(&self) -> impl Iterator<Item = &str> {
         self.sites.iter().filter(|(_, said)| said.is_none()).map(|(site, _)| site.as_str())
--- a/crates/lilacpitch-lab/src/cli.rs
+++ b/crates/lilacpitch-lab/src/cli.rs
@@ -126,13 +126,23 @@
         #[arg(trailing_var_arg = true, allow_hyphen_values = true)]
         args: Vec<OsString>,
     },
+    /// This program as a process of a site.
+    #[command(hide = true, disable_help_flag = true)]
+    Site {
+        /// Arguments of lilacpitch-site.
+        #[arg(trailing_var_arg = true, allow_hyphen_values = true)]
+        args: Vec<OsString>,
+    },
 }
 
 /// Runs the program. Exit codes: 0 done and all rules kept, 1 a rule broken, 2 could not run.
 pub fn main() -> ExitCode {
     match Args::parse().command {
         Command::Edge { args } => {
-            lilacpitch_edge::cli::main(std::iter::once("lilacpitch-edge".into()).chain(args))
+            lilacpitch_edge::cli::main_with(std::iter::once("lilacpitch-edge".into()).chain(args), broken())
+        }
+        Command::Site { args } => {
+            lilacpitch_site::cli::main_with(std::iter::once("lilacpitch-site".into()).chain(args), broken())
         }
         Command::Virtual { file, seeds, edges, records } => {
             done(virtual_days(&file, seeds, edges, records.as_deref()))
@@ -307,3 +317,28 @@
     }
     breaches.is_empty()
 }
+
+/// The promises that a process of this laboratory is to break, for tests of the judge.
+fn broken() -> lilacpitch_fleet::Guards {
+    let names = std::env::var("LILACPITCH_LAB_BREAKS").unwrap_or_default();
+    let mut guards = lilacpitch_fleet::Guards::default();
+    for name in names.split(',').filter(|name| !name.is_empty()) {
+        let guard = match name {
+            "ages" => &mut guards.ages,
+            "says" => &mut guards.says,
+            "leases" => &mut guards.leases,
+            "refills" => &mut guards.refills,
+            "acknowledgements" => &mut guards.acknowledgements,
+            "stragglers" => &mut guards.stragglers,
+            "fences" => &mut guards.fences,
+            "records" => &mut guards.records,
+            "calls_first" => &mut guards.calls_first,
+            other => {
+                eprintln!("LILACPITCH_LAB_BREAKS: no guard {other:?}");
+                std::process::exit(2);
+            }
+        };
+        *guard = false;
+    }
+    guards
+}
--- /dev/null
+++ b/crates/lilacpitch-lab/src/fleet/judge.rs
@@ -0,0 +1,1 @@
+//! The judge of the promises.
--- /dev/null
+++ b/crates/lilacpitch-lab/src/fleet/mod.rs
@@ -0,0 +1,12 @@
+//! The fleet in the laboratory: real processes by the dozen, faults between them, and the judge of the promises.
+//!
+//! - [`wire`]: the network between processes: every connection goes through a relay that holds, delays, doubles,
+//!   swaps, slows and resets, each direction by itself, and reads what crosses.
+//! - [`town`]: sites and fronts as processes, their settings, signals and pages.
+//! - [`caller`]: a handset on a socket.
+//! - [`judge`]: the eight promises, judged by what was seen at sockets alone.
+
+pub mod caller;
+pub mod judge;
+pub mod town;
+pub mod wire;
--- /dev/null
+++ b/crates/lilacpitch-lab/src/fleet/town.rs
@@ -0,0 +1,395 @@
+//! Sites and fronts as processes, with wires between them and servers behind them.
+
+use super::wire::Wires;
+use crate::model::server::Make;
+use crate::record::Record;
+use crate::standin::{self, Play};
+use lilacpitch_edge::net::Clock;
+use lilacpitch_net::free_addresses;
+use lilacpitch_peers::Keys;
+use nix::sys::signal::{kill, Signal};
+use nix::unistd::Pid;
+use std::fmt::Write as _;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+use tempfile::TempDir;
+use thiserror::Error;
+use tokio::sync::watch;
+
+/// The key of all links in a town.
+const KEY: &str = "5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a";
+/// How long a process may take to listen.
+const START: Duration = Duration::from_secs(20);
+
+/// What a town is like.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// Sites: name, the one above, and how many processes.
+    pub sites: Vec<(String, String, usize)>,
+    /// Fronts, by their home sites.
+    pub fronts: Vec<String>,
+    /// What the fleet agrees on, as it stands in settings; may be empty.
+    pub terms: String,
+    /// More of the `fleet` of fronts; may be empty.
+    pub fleet: String,
+    /// More settings of fronts, as a rollout would bring; may be empty.
+    pub front: String,
+    /// Of the network's draws.
+    pub seed: u64,
+    /// Whether what crosses the wires is kept.
+    pub record: bool,
+    /// Names of the guards that are off, as the laboratory's programs read them.
+    pub breaks: String,
+    /// The least level of logs.
+    pub log: String,
+}
+
+impl Plan {
+    /// A root of `root` processes, leaves of one each, and as many fronts at each leaf.
+    pub fn leaves(root: usize, leaves: usize, fronts_each: usize) -> Self {
+        let mut sites = vec![("root".to_string(), String::new(), root)];
+        sites.extend((0..leaves).map(|leaf| (format!("leaf{leaf}"), "root".to_string(), 1)));
+        let fronts = (0..leaves).flat_map(|leaf| vec![format!("leaf{leaf}"); fronts_each]).collect();
+        Plan {
+            sites,
+            fronts,
+            terms: String::new(),
+            fleet: String::new(),
+            front: String::new(),
+            seed: 1,
+            record: true,
+            breaks: String::new(),
+            log: "info".into(),
+        }
+    }
+}
+
+/// Why a town could not be set up.
+#[derive(Debug, Error)]
+pub enum TownError {
+    /// A file, socket or process.
+    #[error("{0}: {1}")]
+    Io(String, std::io::Error),
+    /// A process did not say that it listens.
+    #[error("{0} did not start: {1}")]
+    NotReady(String, String),
+}
+
+fn io<T>(what: &str, done: std::io::Result<T>) -> Result<T, TownError> {
+    done.map_err(|e| TownError::Io(what.into(), e))
+}
+
+#[derive(Debug)]
+struct Proc {
+    name: String,
+    /// The site and the place there; `None`: a front.
+    place: Option<(usize, usize)>,
+    settings: PathBuf,
+    child: Option<Child>,
+    pages: SocketAddr,
+    callers: SocketAddr,
+}
+
+/// A town that runs. Processes are numbered: those of sites in the plan's order, then fronts.
+pub struct Town {
+    /// The folder of its files.
+    pub dir: TempDir,
+    /// The network.
+    pub wires: Wires,
+    program: PathBuf,
+    plan: Plan,
+    procs: Vec<Proc>,
+    servers: Option<(watch::Sender<bool>, JoinHandle<std::io::Result<Vec<Record>>>)>,
+}
+
+impl Town {
+    /// Writes all settings and starts everything. `program` is the laboratory's.
+    pub fn start(plan: Plan, program: &Path) -> Result<Self, TownError> {
+        let mut town = Town::lay_out(plan, program)?;
+        for index in 0..town.procs.len() {
+            town.start_process(index)?;
+        }
+        Ok(town)
+    }
+
+    /// Writes all settings and starts nothing but servers.
+    pub fn lay_out(plan: Plan, program: &Path) -> Result<Self, TownError> {
+        let dir = io("a folder", tempfile::tempdir())?;
+        io("the key", std::fs::write(dir.path().join("key"), format!("{KEY}\n")))?;
+        let keys = Keys::from_text(KEY).unwrap_or_else(|_| Keys::from_bytes([0x5a; 32]));
+        let mut wires = io("wires", Wires::new(keys, plan.seed, plan.record))?;
+        let servers = io("servers", serve(dir.path(), &plan))?;
+
+        let mut places = Vec::new();
+        for (site, (name, _, processes)) in plan.sites.iter().enumerate() {
+            places.extend((0..*processes).map(|place| (format!("{name}-{place}"), Some((site, place)))));
+        }
+        let of_sites = places.len();
+        places.extend((0..plan.fronts.len()).map(|front| (format!("edge-{front}"), None)));
+        let addresses = io("addresses", free_addresses(2 * places.len()))?;
+        let (listen, pages) = addresses.split_at(places.len());
+        let mut procs = Vec::new();
+        for (index, (name, place)) in places.iter().enumerate() {
+            let mut seen = String::new();
+            for (site, (name, parent, processes)) in plan.sites.iter().enumerate() {
+                let first = plan.sites[..site].iter().map(|(_, _, count)| count).sum::<usize>();
+                let mut all = Vec::new();
+                for to in first..first + processes {
+                    let address =
+                        if to == index { listen[to] } else { io("wire", wires.wire(index, to, listen[to]))? };
+                    all.push(format!("{:?}", address.to_string()));
+                }
+                // Writing to a String cannot fail.
+                let _ = writeln!(
+                    seen,
+                    "{{name: {name:?}, parent: {parent:?}, processes: [{}]}},",
+                    all.join(", ")
+                );
+            }
+            let (own, page) = (listen[index], pages[index]);
+            let terms = &plan.terms;
+            let text = match place {
+                Some((site, place)) => format!(
+                    "name: {name:?}\nsite: {:?}\nplace: {place}\nlisten: \"{own}\"\npages: \"{page}\"\n\
+                     data: \"data-{name}\"\nkey_file: \"key\"\nsites: [\n{seen}]\nterms: {{{terms}}}\n\
+                     log: level: {:?}\n",
+                    plan.sites[*site].0, plan.log
+                ),
+                None => {
+                    let home = &plan.fronts[index - of_sites];
+                    format!(
+                        "name: {name:?}\nlisten: \"{own}\"\nmetrics: \"{page}\"\npool_list: \"pools.cue\"\n\
+                         classes: [{{name: \"voice\", aim: \"1s\", give_up: \"5s\", worth: 1}}]\n\
+                         fleet: {{home: {home:?}, pool: {home:?}, key_file: \"key\", sites: [\n{seen}]\n\
+                         terms: {{{terms}}}\n{}}}\nlog: level: {:?}\n{}\n",
+                        plan.fleet, plan.log, plan.front
+                    )
+                }
+            };
+            let settings = dir.path().join(format!("{name}.cue"));
+            io("settings", std::fs::write(&settings, text))?;
+            let (name, place) = (name.clone(), *place);
+            procs.push(Proc { name, place, settings, child: None, pages: page, callers: own });
+        }
+        let program = program.to_path_buf();
+        Ok(Town { dir, wires, program, plan, procs, servers: Some(servers) })
+    }
+
+    /// Starts a process that does not run, and waits until it listens.
+    pub fn start_process(&mut self, index: usize) -> Result<(), TownError> {
+        let proc = &mut self.procs[index];
+        let log =
+            std::fs::OpenOptions::new().create(true).append(true).open(self.dir.path().join(&proc.name));
+        let kind = if proc.place.is_some() { "site" } else { "edge" };
+        let child = Command::new(&self.program)
+            .args([kind, "run", "--config"])
+            .arg(&proc.settings)
+            .env("LILACPITCH_LAB_BREAKS", &self.plan.breaks)
+            .stdout(Stdio::piped())
+            .stdin(Stdio::null())
+            .stderr(io("a log", log)?)
+            .spawn();
+        let mut child = io(&proc.name, child)?;
+        let out = child.stdout.take();
+        proc.child = Some(child);
+        let (give, take) = std::sync::mpsc::channel();
+        std::thread::spawn(move || {
+            let mut line = String::new();
+            let read = out.map(|out| BufReader::new(out).read_line(&mut line));
+            // Who waits may have given up.
+            let _ = give.send(read.map(|_| line));
+        });
+        match take.recv_timeout(START) {
+            Ok(Some(line)) if line.starts_with('{') => Ok(()),
+            other => {
+                let log = std::fs::read_to_string(self.dir.path().join(&proc.name)).unwrap_or_default();
+                let last: Vec<&str> = log.lines().rev().take(3).collect();
+                Err(TownError::NotReady(proc.name.clone(), format!("{other:?}: {}", last.join(" / "))))
+            }
+        }
+    }
+
+    /// The process of a name.
+    pub fn index(&self, name: &str) -> usize {
+        self.procs.iter().position(|proc| proc.name == name).unwrap_or(usize::MAX)
+    }
+
+    /// All processes' names, in their order.
+    pub fn names(&self) -> Vec<String> {
+        self.procs.iter().map(|proc| proc.name.clone()).collect()
+    }
+
+    /// The processes of sites, by number.
+    pub fn site_processes(&self) -> Vec<usize> {
+        (0..self.procs.len()).filter(|index| self.procs[*index].place.is_some()).collect()
+    }
+
+    /// The fronts, by number.
+    pub fn fronts(&self) -> Vec<usize> {
+        (0..self.procs.len()).filter(|index| self.procs[*index].place.is_none()).collect()
+    }
+
+    /// Where callers reach a front.
+    pub fn callers(&self, front: usize) -> SocketAddr {
+        self.procs[front].callers
+    }
+
+    /// Whether a process runs, as far as the kernel says.
+    pub fn runs(&mut self, index: usize) -> bool {
+        self.procs[index].child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+    }
+
+    /// The process id of one that runs.
+    pub fn pid(&self, index: usize) -> Option<u32> {
+        self.procs[index].child.as_ref().map(Child::id)
+    }
+
+    fn signal(&self, index: usize, signal: Signal) {
+        if let Some(child) = &self.procs[index].child {
+            let _ = kill(Pid::from_raw(child.id() as i32), signal);
+        }
+    }
+
+    /// Kills a process without a word.
+    pub fn kill(&mut self, index: usize) {
+        if let Some(mut child) = self.procs[index].child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Asks a process to stop, and waits until it has; whether it did so cleanly.
+    pub fn stop(&mut self, index: usize) -> bool {
+        self.signal(index, Signal::SIGTERM);
+        let Some(mut child) = self.procs[index].child.take() else { return false };
+        let until = Instant::now() + START;
+        while Instant::now() < until {
+            if let Ok(Some(status)) = child.try_wait() {
+                return status.success();
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        let _ = child.kill();
+        let _ = child.wait();
+        false
+    }
+
+    /// Stops a process where it stands, or lets it go on.
+    pub fn freeze(&self, index: usize, on: bool) {
+        self.signal(index, if on { Signal::SIGSTOP } else { Signal::SIGCONT });
+    }
+
+    /// The folder of a process's disk.
+    pub fn disk(&self, index: usize) -> PathBuf {
+        self.dir.path().join(format!("data-{}", self.procs[index].name))
+    }
+
+    /// What a process has logged.
+    pub fn log(&self, index: usize) -> String {
+        std::fs::read_to_string(self.dir.path().join(&self.procs[index].name)).unwrap_or_default()
+    }
+
+    /// A page of a process: its status and body.
+    pub fn page(&self, index: usize, method: &str, target: &str) -> std::io::Result<(u16, String)> {
+        fetch(self.procs[index].pages, method, target)
+    }
+
+    /// The body of a page; empty where there is none.
+    pub fn get(&self, index: usize, target: &str) -> String {
+        self.page(index, "GET", target)
+            .ok()
+            .filter(|(status, _)| *status == 200)
+            .map_or(String::new(), |(_, body)| body)
+    }
+
+    /// Waits until something holds; `false`: it did not in time.
+    pub fn wait(&self, patience: Duration, mut holds: impl FnMut(&Town) -> bool) -> bool {
+        let until = Instant::now() + patience;
+        loop {
+            if holds(self) {
+                return true;
+            }
+            if Instant::now() >= until {
+                return false;
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// Waits until every front has a lease and every summary.
+    pub fn settled(&self, patience: Duration) -> bool {
+        self.wait(patience, |town| {
+            town.fronts().into_iter().all(|front| {
+                let page = town.get(front, "/fleet");
+                page.contains("\nlease for ") && page.contains("summaries unknown 0")
+            })
+        })
+    }
+
+    /// Ends the servers; what they saw.
+    pub fn servers_saw(&mut self) -> Vec<Record> {
+        let Some((done, thread)) = self.servers.take() else { return Vec::new() };
+        let _ = done.send(true);
+        thread.join().ok().and_then(Result::ok).unwrap_or_default()
+    }
+}
+
+impl Drop for Town {
+    fn drop(&mut self) {
+        (0..self.procs.len()).for_each(|index| self.kill(index));
+        drop(self.servers_saw());
+    }
+}
+
+/// A page of a process on loopback: its status and body.
+pub fn fetch(address: SocketAddr, method: &str, target: &str) -> std::io::Result<(u16, String)> {
+    let patience = Duration::from_secs(5);
+    let mut stream = TcpStream::connect_timeout(&address, patience)?;
+    stream.set_read_timeout(Some(patience))?;
+    write!(stream, "{method} {target} HTTP/1.1\r\nHost: {address}\r\n\r\n")?;
+    let mut bytes = Vec::new();
+    stream.take(1 << 22).read_to_end(&mut bytes)?;
+    match lilacpitch_protocol::http::response(&bytes) {
+        Ok(Some((head, taken))) => Ok((head.status, String::from_utf8_lossy(&bytes[taken..]).into_owned())),
+        _ => Err(std::io::Error::other("no answer")),
+    }
+}
+
+type Served = (watch::Sender<bool>, JoinHandle<std::io::Result<Vec<Record>>>);
+
+/// Two servers with room for all in the pool of each site that fronts are at home in.
+fn serve(dir: &Path, plan: &Plan) -> std::io::Result<Served> {
+    let mut pools: Vec<&String> = plan.fronts.iter().collect();
+    pools.sort_unstable();
+    pools.dedup();
+    let make = Make {
+        per_s: 100_000.0,
+        circuits: 1_000_000,
+        full_after_ns: 10_000_000_000,
+        cold_from: 1.0,
+        cold_span_ns: 1,
+        tip_multiple: 1e9,
+        tip_span_ns: 1_000_000_000,
+    };
+    let (mut plays, mut list) = (Vec::new(), String::from("servers: [\n"));
+    for pool in pools {
+        for nth in 0..2 {
+            let (listener, address) = standin::bind()?;
+            let name = format!("s-{pool}-{nth}");
+            let _ = writeln!(list, "{{name: {name:?}, pool: {pool:?}, address: \"{address}\"}},");
+            plays.push(Play { name, make: make.clone(), listener, events: Vec::new(), absent: false });
+        }
+    }
+    list.push_str("]\n");
+    std::fs::write(dir.join("pools.cue"), list)?;
+    let (done, told) = watch::channel(false);
+    let thread = std::thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        tokio::task::LocalSet::new().block_on(&runtime, standin::play(plays, Clock::start(), told))
+    });
+    Ok((done, thread))
+}
--- a/crates/lilacpitch-lab/src/lib.rs
+++ b/crates/lilacpitch-lab/src/lib.rs
@@ -11,6 +11,7 @@
 //!   they keep view of each other there, as they grow in number.
 //! - [`baseline`]: well-known policies in the module's place, [`bound`] what no front could do better, and
 //!   [`compare`] all of them on the same days.
+//! - [`fleet`]: sites and fronts as processes, faults between them, the judge of the eight promises.
 //! - [`load`]: how fast a front is, and what it costs.
 //!
 //! All figures are figures of simulated servers.
@@ -22,6 +23,7 @@
 pub mod compare;
 pub mod day;
 pub mod edges;
+pub mod fleet;
 pub mod judge;
 pub mod load;
 pub mod membership;
--- a/crates/lilacpitch-lab/src/virtual_day.rs
+++ b/crates/lilacpitch-lab/src/virtual_day.rs
@@ -332,6 +332,8 @@
 
     fn carry_out(&mut self, front: usize, effect: Effect) {
         match effect {
+            // Virtual days play fronts without a fleet.
+            Effect::Locate { .. } | Effect::Row(_) => {}
             Effect::ToCaller(caller, text) => {
                 let at = self.arrives((0, front, 0));
                 self.at(at, Happens::ToCaller { front, caller, text });
--- /dev/null
+++ b/crates/lilacpitch-lab/tests/fleet/main.rs
@@ -0,0 +1,28 @@
+//! The fleet as real processes, with faults between them.
+
+mod thin;
+
+use lilacpitch_lab::fleet::town::{Plan, Town};
+use std::path::Path;
+use std::time::Duration;
+
+/// Wide room: machines are noisy.
+pub const SOON: Duration = Duration::from_secs(30);
+
+pub fn town(plan: Plan) -> Town {
+    let town = Town::start(plan, Path::new(env!("CARGO_BIN_EXE_lilacpitch-lab"))).unwrap();
+    assert!(town.settled(SOON), "{}", report(&town));
+    town
+}
+
+/// What all processes say of themselves, for a failure's message.
+pub fn report(town: &Town) -> String {
+    let mut out = String::new();
+    for (index, name) in town.names().iter().enumerate() {
+        let page = if town.fronts().contains(&index) { "/fleet" } else { "/metrics" };
+        let log = town.log(index);
+        let last: Vec<&str> = log.lines().rev().take(8).collect();
+        out += &format!("== {name}\n{}\n{}\n", town.get(index, page), last.join("\n"));
+    }
+    out
+}
