The judge of the fleet's promises, from what crosses the wires and what people read

Cause: promises must be judged apart from the code that keeps them. Change: promises 1 to 6 from the frames between processes, pages of locates and the root's reports of progress; counts of what was there to be judged.

--- a/crates/lilacpitch-config/tests/settings.rs
+++ b/crates/lilacpitch-config/tests/settings.rs
@@ -231,7 +231,7 @@
         ("place: 0", "place: 0\nterms: clock_allowance: 2", "terms.clock_allowance: found 2, wanted"),
     ];
     for (right, wrong, told) in cases {
-        let error = Site::from_text("site.cue", &SITE.replace(right, wrong)).err().expect(wrong).to_string();
+        let error = Site::from_text("site.cue", &SITE.replace(right, wrong)).expect_err(wrong).to_string();
         assert!(error.contains(told), "{error}\nin place of {told}");
     }
     let fleet = "fleet: {home: \"x\", pool: \"p\", key_file: \"k\", sites: [{name: \"y\", processes: [\"127.0.0.1:1\"]}]}\n";
--- a/crates/lilacpitch-lab/src/fleet/judge.rs
+++ b/crates/lilacpitch-lab/src/fleet/judge.rs
@@ -1,1 +1,472 @@
-//! The judge of the promises.
+//! The judge of the fleet's promises. It reads what crossed the wires and what people read on pages, and shares no
+//! code with what it judges but the form of the messages.
+
+use super::wire::Crossed;
+use lilacpitch_fleet::message::{Body, Order, Position, Request, Response, RowChange, Scope, What};
+use lilacpitch_register::{Key, Kind, Number};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A locate of one number as somebody read it from a front's page.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Look {
+    /// The front.
+    pub front: usize,
+    /// The number.
+    pub number: Number,
+    /// When it was asked for, by the steady clock,
+    pub began_ns: u64,
+    /// and when it had been read.
+    pub ended_ns: u64,
+    /// The page.
+    pub page: String,
+}
+
+/// The progress of purges as somebody read it at the root.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Progress {
+    /// When it was asked for, by the steady clock,
+    pub began_ns: u64,
+    /// and when it had been read.
+    pub ended_ns: u64,
+    /// The log.
+    pub log: u64,
+    /// Complete up to here.
+    pub complete: u64,
+}
+
+/// What the judge is told of the fleet.
+#[derive(Debug, Clone)]
+pub struct Town {
+    /// All sites.
+    pub sites: Vec<String>,
+    /// Processes of sites, by number, and their sites; whoever is not among them is a front.
+    pub processes: BTreeMap<usize, String>,
+    /// Fronts, by number: name and home site.
+    pub fronts: BTreeMap<usize, (String, String)>,
+    /// Promise 1: found by every locate that begins so long after the acknowledgement.
+    pub settle_ns: u64,
+    /// Leases are out after this many times their length.
+    pub outlasts: f64,
+    /// Who has not applied an order for so long gets no lease.
+    pub straggler_ns: u64,
+}
+
+/// A promise that was not kept.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Breach {
+    /// Which of the eight.
+    pub promise: u32,
+    /// What was seen.
+    pub what: String,
+}
+
+/// How many things were there to be judged: a judge that saw nothing says nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Judged {
+    /// Rows that had to be found, by look.
+    pub found: usize,
+    /// Answers whose words were weighed.
+    pub answers: usize,
+    /// Withdrawn rows that must not be served once their purge was complete, by look.
+    pub gone: usize,
+    /// Withdrawn rows that a front must not serve once it had applied their purge, by look.
+    pub not_refilled: usize,
+    /// Fronts and processes that had to have acknowledged, by report.
+    pub acknowledged: usize,
+    /// Leases and writes weighed.
+    pub leases: usize,
+}
+
+/// The life of one row.
+#[derive(Debug, Default)]
+struct RowLife {
+    site: String,
+    since_ms: u64,
+    /// When its writing was acknowledged.
+    acked_ns: Option<u64>,
+    /// When its withdrawal was first sent, and when it was acknowledged.
+    withdrawn_ns: Option<u64>,
+    gone_ns: Option<u64>,
+}
+
+struct Case<'a> {
+    town: &'a Town,
+    crossed: &'a [Crossed],
+    /// Each question with its answer, if that arrived.
+    asked: Vec<(&'a Crossed, &'a Request, Option<(&'a Crossed, &'a Response)>)>,
+    rows: BTreeMap<Key, RowLife>,
+    judged: Judged,
+    breaches: BTreeSet<Breach>,
+}
+
+/// Judges promises 1 to 6 of a stretch of time.
+pub fn judge(town: &Town, crossed: &[Crossed], looks: &[Look], progress: &[Progress]) -> (Vec<Breach>, Judged) {
+    let mut answers: BTreeMap<(usize, usize, u64, super::wire::Way, u64), (&Crossed, &Response)> = BTreeMap::new();
+    for c in crossed {
+        if let Body::Answer(id, response) = &c.body {
+            answers.entry((c.to, c.from, c.conn, opposite(c.way), *id)).or_insert((c, response));
+        }
+    }
+    let asked = crossed.iter().filter_map(|c| match &c.body {
+        Body::Ask(id, request) => Some((c, request, answers.get(&(c.from, c.to, c.conn, c.way, *id)).copied())),
+        _ => None,
+    });
+    let mut case = Case {
+        town,
+        crossed,
+        asked: asked.collect(),
+        rows: BTreeMap::new(),
+        judged: Judged::default(),
+        breaches: BTreeSet::new(),
+    };
+    case.read_rows();
+    case.nothing_missed(looks);
+    looks.iter().for_each(|look| case.says_what_it_is(look));
+    case.purged_means_gone(looks, progress);
+    case.acknowledgements(progress);
+    case.stragglers();
+    (case.breaches.into_iter().collect(), case.judged)
+}
+
+fn opposite(way: super::wire::Way) -> super::wire::Way {
+    match way {
+        super::wire::Way::Forth => super::wire::Way::Back,
+        super::wire::Way::Back => super::wire::Way::Forth,
+    }
+}
+
+fn covers(order: &Order, number: &Number) -> bool {
+    let What::Purge(scopes) = &order.what else { return false };
+    scopes_cover(scopes, number)
+}
+
+fn scopes_cover(scopes: &[Scope], number: &Number) -> bool {
+    scopes.iter().any(|scope| match scope {
+        Scope::Number(one) => one == number,
+        Scope::Prefix(prefix) => number.as_str().starts_with(prefix.as_str()),
+        Scope::Holder(_) => false,
+        Scope::All => true,
+    })
+}
+
+/// A page's lines that begin so, cut into words.
+fn lines<'a>(page: &'a str, first: &'a str) -> impl Iterator<Item = Vec<&'a str>> {
+    let all = page.lines().map(|line| line.split_whitespace().collect::<Vec<_>>());
+    all.filter(move |words| words.first() == Some(&first))
+}
+
+/// Whether a page shows a row: `row NUMBER KIND class C trunk-group T holder H front F since MS`.
+fn shows(page: &str, key: &Key, since_ms: u64) -> bool {
+    lines(page, "row").any(|words| {
+        words.get(1) == Some(&key.number.as_str())
+            && words.get(2) == Some(&"reached")
+            && words.iter().zip(words.iter().skip(1)).any(|(a, b)| *a == "front" && *b == key.holder.front)
+            && words.last() == Some(&since_ms.to_string().as_str())
+    })
+}
+
+impl Case<'_> {
+    fn breach(&mut self, promise: u32, what: String) {
+        self.breaches.insert(Breach { promise, what });
+    }
+
+    fn front(&self, name: &str) -> Option<&(String, String)> {
+        self.town.fronts.values().find(|(front, _)| front == name)
+    }
+
+    fn read_rows(&mut self) {
+        let mut rows: BTreeMap<Key, RowLife> = BTreeMap::new();
+        for (ask, request, answer) in &self.asked {
+            // As the front itself said it: what processes forward to each other is the same again.
+            let (true, Request::Write(changes)) = (self.town.fronts.contains_key(&ask.from), request) else { continue };
+            let done = answer.filter(|(_, said)| **said == Response::Written).map(|(c, _)| c.came_ns);
+            for change in changes {
+                match change {
+                    RowChange::Put(row) if row.key.kind == Kind::Reached => {
+                        let site = self.front(&row.key.holder.front).map_or("", |(_, home)| home).to_string();
+                        let life = rows.entry(row.key.clone()).or_default();
+                        (life.site, life.since_ms) = (site, row.since_ms);
+                        life.acked_ns = earlier(life.acked_ns, done);
+                    }
+                    RowChange::Withdraw(key) if key.kind == Kind::Reached => {
+                        let life = rows.entry(key.clone()).or_default();
+                        life.withdrawn_ns = earlier(life.withdrawn_ns, Some(ask.left_ns));
+                        life.gone_ns = earlier(life.gone_ns, done);
+                    }
+                    _ => {}
+                }
+            }
+        }
+        // Sweeps withdraw too: a later life of a front takes its former rows with it, and so does a long absence.
+        for (ask, request, _) in &self.asked {
+            let swept = match request {
+                Request::Forwarded(_, _, inner) => match &**inner {
+                    Request::Sweep(front, before) => Some((front.clone(), *before)),
+                    _ => None,
+                },
+                Request::Renew(_) => self.town.fronts.get(&ask.from).map(|(name, _)| (name.clone(), self.life(ask))),
+                _ => None,
+            };
+            if let Some((front, before)) = swept {
+                let of = rows.iter_mut().filter(|(key, _)| key.holder.front == front && key.holder.life < before);
+                of.for_each(|(_, life)| life.withdrawn_ns = earlier(life.withdrawn_ns, Some(ask.left_ns)));
+            }
+        }
+        self.rows = rows;
+    }
+
+    /// The life that a connection's maker said in its greeting.
+    fn life(&self, ask: &Crossed) -> u64 {
+        let hello = self.crossed.iter().find_map(|c| match &c.body {
+            Body::Hello(hello) if (c.from, c.to, c.conn, c.way) == (ask.from, ask.to, ask.conn, ask.way) => Some(hello.life),
+            _ => None,
+        });
+        hello.unwrap_or(0)
+    }
+
+    /// Promise 1.
+    fn nothing_missed(&mut self, looks: &[Look]) {
+        let mut wrong = Vec::new();
+        for look in looks.iter().filter(|look| !look.page.starts_with("error")) {
+            for (key, life) in self.rows.iter().filter(|(key, _)| key.number == look.number) {
+                let Some(acked_ns) = life.acked_ns else { continue };
+                let there = acked_ns + self.town.settle_ns < look.began_ns;
+                let stays = life.withdrawn_ns.is_none_or(|at| at > look.ended_ns);
+                if !there || !stays {
+                    continue;
+                }
+                self.judged.found += 1;
+                let not_reached = lines(&look.page, "site")
+                    .any(|words| words.get(1) == Some(&life.site.as_str()) && words.get(2) == Some(&"not-reached"));
+                if !shows(&look.page, key, life.since_ms) && !not_reached {
+                    wrong.push(format!(
+                        "{} of {} at {}, acknowledged {} ms before, not found at {}: {}",
+                        key.number,
+                        key.holder.front,
+                        life.site,
+                        (look.began_ns - acked_ns) / 1_000_000,
+                        look.front,
+                        look.page.replace('\n', " / ")
+                    ));
+                }
+            }
+        }
+        wrong.into_iter().for_each(|what| self.breach(1, what));
+    }
+
+    /// Promise 2.
+    fn says_what_it_is(&mut self, look: &Look) {
+        if look.page.starts_with("error") {
+            return;
+        }
+        self.judged.answers += 1;
+        let said: Vec<Vec<&str>> = lines(&look.page, "site").collect();
+        let mut named: Vec<&str> = said.iter().filter_map(|words| words.get(1).copied()).collect();
+        named.sort_unstable();
+        let mut all: Vec<&str> = self.town.sites.iter().map(String::as_str).collect();
+        all.sort_unstable();
+        let complete = lines(&look.page, "complete").next().is_some_and(|words| words.get(1) == Some(&"true"));
+        let missing = said.iter().any(|words| words.get(2) == Some(&"not-reached"));
+        if named != all {
+            self.breach(2, format!("sites {named:?} of {all:?} at {}", look.front));
+        }
+        if complete == missing {
+            self.breach(2, format!("complete {complete} with a site not reached {missing} at {}", look.front));
+        }
+        // A site that is said to have been asked was, by this front, and by then.
+        for words in said.iter().filter(|words| words.get(2) == Some(&"asked")) {
+            let site = words.get(1).copied().unwrap_or("");
+            let asked = self.asked.iter().any(|(ask, request, answer)| {
+                let of = matches!(request, Request::Find { query, .. } if query.what == lilacpitch_register::What::Number(look.number.clone()));
+                of && ask.from == look.front
+                    && ask.left_ns <= look.ended_ns
+                    && self.town.processes.get(&ask.to).is_some_and(|of| of == site)
+                    && answer.is_some()
+            });
+            if !asked {
+                self.breach(2, format!("site {site} said to be asked by {} and was not", look.front));
+            }
+        }
+        // A site that is ruled out was by a version that this front had been told.
+        for words in said.iter().filter(|words| words.get(2) == Some(&"ruled-out")) {
+            let site = words.get(1).copied().unwrap_or("");
+            let version = words.get(4).and_then(|v| v.split_once('/'));
+            let version = version.and_then(|(life, total)| Some((life.parse::<u64>().ok()?, total.parse::<u64>().ok()?)));
+            let told = version.is_some_and(|(life, total)| {
+                self.asked.iter().any(|(ask, _, answer)| {
+                    let Some((c, Response::Summaries(news))) = answer else { return false };
+                    let same = |n: &lilacpitch_fleet::message::SiteNews| (n.site.as_str(), n.life, n.total) == (site, life, total);
+                    ask.from == look.front && c.came_ns <= look.ended_ns && news.iter().any(same)
+                })
+            });
+            if !told {
+                self.breach(2, format!("site {site} ruled out at {} by {version:?}, which it was never told", look.front));
+            }
+        }
+    }
+
+    /// The order that purges a row's number after its withdrawal, for certain: its log and number.
+    fn purge_of(&self, key: &Key, life: &RowLife) -> Option<Position> {
+        let (from, to) = (life.withdrawn_ns?, life.gone_ns? + 200_000_000);
+        let submitted = self.asked.iter().filter_map(|(ask, request, answer)| {
+            let Request::Submit(What::Purge(scopes)) = request else { return None };
+            let at_it = (from..to).contains(&ask.left_ns) && scopes_cover(scopes, &key.number);
+            match answer {
+                Some((_, Response::Ordered(position))) if at_it => Some(*position),
+                _ => None,
+            }
+        });
+        submitted.max_by_key(|position| (position.log, position.order))
+    }
+
+    /// Promises 3 and 4.
+    fn purged_means_gone(&mut self, looks: &[Look], progress: &[Progress]) {
+        let mut wrong = Vec::new();
+        let mut judged = self.judged;
+        for (key, life) in &self.rows {
+            let of_it = || looks.iter().filter(|look| look.number == key.number);
+            if of_it().next().is_none() {
+                continue;
+            }
+            let Some(position) = self.purge_of(key, life) else { continue };
+            let complete = progress
+                .iter()
+                .find(|p| p.log == position.log && p.complete >= position.order)
+                .map(|p| p.ended_ns);
+            for look in of_it() {
+                let shown = shows(&look.page, key, life.since_ms);
+                if complete.is_some_and(|at| at < look.began_ns) {
+                    judged.gone += 1;
+                    if shown {
+                        wrong.push((3, format!(
+                            "{} of {} served at {}, {} ms after order {position} was complete",
+                            key.number, key.holder.front, look.front,
+                            (look.began_ns - complete.unwrap_or(0)) / 1_000_000
+                        )));
+                    }
+                }
+                if self.applied_at(look.front, position).is_some_and(|at| at < look.began_ns) {
+                    judged.not_refilled += 1;
+                    if shown {
+                        wrong.push((4, format!(
+                            "{} of {} served at {} after it had applied order {position}",
+                            key.number, key.holder.front, look.front
+                        )));
+                    }
+                }
+            }
+        }
+        self.judged = judged;
+        wrong.into_iter().for_each(|(promise, what)| self.breach(promise, what));
+    }
+
+    /// When a process had surely said that it has applied everything up to a position.
+    fn applied_at(&self, who: usize, upto: Position) -> Option<u64> {
+        self.applications(who).find(|(_, applied)| applied.reaches(upto)).map(|(at, _)| at)
+    }
+
+    /// What a process has said of its own position, in the order in which it said it.
+    fn applications(&self, who: usize) -> impl Iterator<Item = (u64, Position)> + '_ {
+        self.crossed.iter().filter(move |c| c.from == who).filter_map(|c| match &c.body {
+            Body::Ask(_, Request::Renew(Some(position))) => Some((c.left_ns, *position)),
+            Body::Answer(_, Response::Applied(position)) => Some((c.left_ns, *position)),
+            _ => None,
+        })
+    }
+
+    /// Leases: who, from the moment of asking, for how long, and from whom.
+    fn leases(&self) -> Vec<(usize, usize, u64, u64, Option<Position>)> {
+        let granted = self.asked.iter().filter_map(|(ask, request, answer)| match (request, answer) {
+            (Request::Renew(applied), Some((_, Response::Granted { for_ns, .. }))) if *for_ns > 0 => {
+                Some((ask.from, ask.to, ask.left_ns, *for_ns, *applied))
+            }
+            _ => None,
+        });
+        granted.collect()
+    }
+
+    /// Promise 5: what is reported complete was acknowledged by every front that held a lease all the while.
+    fn acknowledgements(&mut self, progress: &[Progress]) {
+        let leases = self.leases();
+        let mut wrong = Vec::new();
+        for p in progress.iter().filter(|p| p.complete > 0) {
+            let upto = Position { log: p.log, order: p.complete };
+            for front in self.town.fronts.keys() {
+                // From before the question until after the answer: a front that was in for certain.
+                let held = leases.iter().any(|(who, _, at, for_ns, applied)| {
+                    who == front && *at < p.began_ns && at + for_ns > p.ended_ns
+                        && applied.is_some_and(|applied| applied.log == p.log)
+                });
+                if !held {
+                    continue;
+                }
+                self.judged.acknowledged += 1;
+                if self.applied_at(*front, upto).is_none_or(|at| at > p.ended_ns) {
+                    wrong.push(format!("order {upto} reported complete, and front {front}, with a lease, had not applied it"));
+                }
+            }
+        }
+        wrong.into_iter().for_each(|what| self.breach(5, what));
+    }
+
+    /// Promise 6: who is behind gets no lease, and who has none writes nothing.
+    fn stragglers(&mut self) {
+        let leases = self.leases();
+        let mut wrong = Vec::new();
+        // When each process above had each order for certain: it had sent it to somebody.
+        let mut had: BTreeMap<(usize, u64, u64), u64> = BTreeMap::new();
+        for (ask, request, _) in &self.asked {
+            if let Request::Orders { log, orders } = request {
+                for order in orders {
+                    let at = had.entry((ask.from, *log, order.number)).or_insert(ask.left_ns);
+                    *at = (*at).min(ask.left_ns);
+                }
+            }
+        }
+        for (who, by, at, _, applied) in &leases {
+            let Some(applied) = applied else { continue };
+            self.judged.leases += 1;
+            let next = had.get(&(*by, applied.log, applied.order + 1));
+            let late = next.is_some_and(|had| had + 2 * self.town.straggler_ns < *at);
+            if late {
+                wrong.push(format!("{who} got a lease from {by} with {applied}, whose next order it had long had"));
+            }
+        }
+        for (ask, request, answer) in &self.asked {
+            let front = self.town.fronts.contains_key(&ask.from);
+            if !front || !matches!(request, Request::Write(_)) || !matches!(answer, Some((_, Response::Written))) {
+                continue;
+            }
+            self.judged.leases += 1;
+            // Until its lease has surely run out at whoever granted it, a write is taken.
+            let held = leases.iter().any(|(who, by, at, for_ns, _)| {
+                let until = at + (*for_ns as f64 * self.town.outlasts) as u64 + 1_000_000_000;
+                (who, by) == (&ask.from, &ask.to) && *at <= ask.came_ns && until >= ask.left_ns
+            });
+            if !held {
+                wrong.push(format!("a write of {} was taken by {} without a lease from it", ask.from, ask.to));
+            }
+        }
+        wrong.into_iter().for_each(|what| self.breach(6, what));
+    }
+}
+
+fn earlier(known: Option<u64>, new: Option<u64>) -> Option<u64> {
+    match (known, new) {
+        (Some(a), Some(b)) => Some(a.min(b)),
+        (a, b) => a.or(b),
+    }
+}
+
+/// Orders of a stretch of time that cover a number, for who looks at a case by hand.
+pub fn orders_for(crossed: &[Crossed], number: &Number) -> Vec<u64> {
+    let all = crossed.iter().filter_map(|c| match &c.body {
+        Body::Ask(_, Request::Orders { orders, .. }) => Some(orders),
+        _ => None,
+    });
+    let mut numbers: Vec<u64> =
+        all.flatten().filter(|order| covers(order, number)).map(|order| order.number).collect();
+    numbers.sort_unstable();
+    numbers.dedup();
+    numbers
+}
