--- a/crates/lilacpitch-lab/src/fleet/judge.rs
+++ b/crates/lilacpitch-lab/src/fleet/judge.rs
@@ -100,15 +100,23 @@
 }
 
 /// Judges promises 1 to 6 of a stretch of time.
-pub fn judge(town: &Town, crossed: &[Crossed], looks: &[Look], progress: &[Progress]) -> (Vec<Breach>, Judged) {
-    let mut answers: BTreeMap<(usize, usize, u64, super::wire::Way, u64), (&Crossed, &Response)> = BTreeMap::new();
+pub fn judge(
+    town: &Town,
+    crossed: &[Crossed],
+    looks: &[Look],
+    progress: &[Progress],
+) -> (Vec<Breach>, Judged) {
+    let mut answers: BTreeMap<(usize, usize, u64, super::wire::Way, u64), (&Crossed, &Response)> =
+        BTreeMap::new();
     for c in crossed {
         if let Body::Answer(id, response) = &c.body {
             answers.entry((c.to, c.from, c.conn, opposite(c.way), *id)).or_insert((c, response));
         }
     }
     let asked = crossed.iter().filter_map(|c| match &c.body {
-        Body::Ask(id, request) => Some((c, request, answers.get(&(c.from, c.to, c.conn, c.way, *id)).copied())),
+        Body::Ask(id, request) => {
+            Some((c, request, answers.get(&(c.from, c.to, c.conn, c.way, *id)).copied()))
+        }
         _ => None,
     });
     let mut case = Case {
@@ -178,7 +186,9 @@
         let mut rows: BTreeMap<Key, RowLife> = BTreeMap::new();
         for (ask, request, answer) in &self.asked {
             // As the front itself said it: what processes forward to each other is the same again.
-            let (true, Request::Write(changes)) = (self.town.fronts.contains_key(&ask.from), request) else { continue };
+            let (true, Request::Write(changes)) = (self.town.fronts.contains_key(&ask.from), request) else {
+                continue;
+            };
             let done = answer.filter(|(_, said)| **said == Response::Written).map(|(c, _)| c.came_ns);
             for change in changes {
                 match change {
@@ -204,11 +214,14 @@
                     Request::Sweep(front, before) => Some((front.clone(), *before)),
                     _ => None,
                 },
-                Request::Renew(_) => self.town.fronts.get(&ask.from).map(|(name, _)| (name.clone(), self.life(ask))),
+                Request::Renew(_) => {
+                    self.town.fronts.get(&ask.from).map(|(name, _)| (name.clone(), self.life(ask)))
+                }
                 _ => None,
             };
             if let Some((front, before)) = swept {
-                let of = rows.iter_mut().filter(|(key, _)| key.holder.front == front && key.holder.life < before);
+                let of =
+                    rows.iter_mut().filter(|(key, _)| key.holder.front == front && key.holder.life < before);
                 of.for_each(|(_, life)| life.withdrawn_ns = earlier(life.withdrawn_ns, Some(ask.left_ns)));
             }
         }
@@ -218,7 +231,9 @@
     /// The life that a connection's maker said in its greeting.
     fn life(&self, ask: &Crossed) -> u64 {
         let hello = self.crossed.iter().find_map(|c| match &c.body {
-            Body::Hello(hello) if (c.from, c.to, c.conn, c.way) == (ask.from, ask.to, ask.conn, ask.way) => Some(hello.life),
+            Body::Hello(hello) if (c.from, c.to, c.conn, c.way) == (ask.from, ask.to, ask.conn, ask.way) => {
+                Some(hello.life)
+            }
             _ => None,
         });
         hello.unwrap_or(0)
@@ -236,8 +251,9 @@
                     continue;
                 }
                 self.judged.found += 1;
-                let not_reached = lines(&look.page, "site")
-                    .any(|words| words.get(1) == Some(&life.site.as_str()) && words.get(2) == Some(&"not-reached"));
+                let not_reached = lines(&look.page, "site").any(|words| {
+                    words.get(1) == Some(&life.site.as_str()) && words.get(2) == Some(&"not-reached")
+                });
                 if !shows(&look.page, key, life.since_ms) && !not_reached {
                     wrong.push(format!(
                         "{} of {} at {}, acknowledged {} ms before, not found at {}: {}",
@@ -265,13 +281,17 @@
         named.sort_unstable();
         let mut all: Vec<&str> = self.town.sites.iter().map(String::as_str).collect();
         all.sort_unstable();
-        let complete = lines(&look.page, "complete").next().is_some_and(|words| words.get(1) == Some(&"true"));
+        let complete =
+            lines(&look.page, "complete").next().is_some_and(|words| words.get(1) == Some(&"true"));
         let missing = said.iter().any(|words| words.get(2) == Some(&"not-reached"));
         if named != all {
             self.breach(2, format!("sites {named:?} of {all:?} at {}", look.front));
         }
         if complete == missing {
-            self.breach(2, format!("complete {complete} with a site not reached {missing} at {}", look.front));
+            self.breach(
+                2,
+                format!("complete {complete} with a site not reached {missing} at {}", look.front),
+            );
         }
         // A site that is said to have been asked was, by this front, and by then.
         for words in said.iter().filter(|words| words.get(2) == Some(&"asked")) {
@@ -291,16 +311,25 @@
         for words in said.iter().filter(|words| words.get(2) == Some(&"ruled-out")) {
             let site = words.get(1).copied().unwrap_or("");
             let version = words.get(4).and_then(|v| v.split_once('/'));
-            let version = version.and_then(|(life, total)| Some((life.parse::<u64>().ok()?, total.parse::<u64>().ok()?)));
+            let version = version
+                .and_then(|(life, total)| Some((life.parse::<u64>().ok()?, total.parse::<u64>().ok()?)));
             let told = version.is_some_and(|(life, total)| {
                 self.asked.iter().any(|(ask, _, answer)| {
                     let Some((c, Response::Summaries(news))) = answer else { return false };
-                    let same = |n: &lilacpitch_fleet::message::SiteNews| (n.site.as_str(), n.life, n.total) == (site, life, total);
+                    let same = |n: &lilacpitch_fleet::message::SiteNews| {
+                        (n.site.as_str(), n.life, n.total) == (site, life, total)
+                    };
                     ask.from == look.front && c.came_ns <= look.ended_ns && news.iter().any(same)
                 })
             });
             if !told {
-                self.breach(2, format!("site {site} ruled out at {} by {version:?}, which it was never told", look.front));
+                self.breach(
+                    2,
+                    format!(
+                        "site {site} ruled out at {} by {version:?}, which it was never told",
+                        look.front
+                    ),
+                );
             }
         }
     }
@@ -338,20 +367,28 @@
                 if complete.is_some_and(|at| at < look.began_ns) {
                     judged.gone += 1;
                     if shown {
-                        wrong.push((3, format!(
-                            "{} of {} served at {}, {} ms after order {position} was complete",
-                            key.number, key.holder.front, look.front,
-                            (look.began_ns - complete.unwrap_or(0)) / 1_000_000
-                        )));
+                        wrong.push((
+                            3,
+                            format!(
+                                "{} of {} served at {}, {} ms after order {position} was complete",
+                                key.number,
+                                key.holder.front,
+                                look.front,
+                                (look.began_ns - complete.unwrap_or(0)) / 1_000_000
+                            ),
+                        ));
                     }
                 }
                 if self.applied_at(look.front, position).is_some_and(|at| at < look.began_ns) {
                     judged.not_refilled += 1;
                     if shown {
-                        wrong.push((4, format!(
-                            "{} of {} served at {} after it had applied order {position}",
-                            key.number, key.holder.front, look.front
-                        )));
+                        wrong.push((
+                            4,
+                            format!(
+                                "{} of {} served at {} after it had applied order {position}",
+                                key.number, key.holder.front, look.front
+                            ),
+                        ));
                     }
                 }
             }
@@ -394,7 +431,9 @@
             for front in self.town.fronts.keys() {
                 // From before the question until after the answer: a front that was in for certain.
                 let held = leases.iter().any(|(who, _, at, for_ns, applied)| {
-                    who == front && *at < p.began_ns && at + for_ns > p.ended_ns
+                    who == front
+                        && *at < p.began_ns
+                        && at + for_ns > p.ended_ns
                         && applied.is_some_and(|applied| applied.log == p.log)
                 });
                 if !held {
@@ -402,7 +441,9 @@
                 }
                 self.judged.acknowledged += 1;
                 if self.applied_at(*front, upto).is_none_or(|at| at > p.ended_ns) {
-                    wrong.push(format!("order {upto} reported complete, and front {front}, with a lease, had not applied it"));
+                    wrong.push(format!(
+                        "order {upto} reported complete, and front {front}, with a lease, had not applied it"
+                    ));
                 }
             }
         }
@@ -429,12 +470,17 @@
             let next = had.get(&(*by, applied.log, applied.order + 1));
             let late = next.is_some_and(|had| had + 2 * self.town.straggler_ns < *at);
             if late {
-                wrong.push(format!("{who} got a lease from {by} with {applied}, whose next order it had long had"));
+                wrong.push(format!(
+                    "{who} got a lease from {by} with {applied}, whose next order it had long had"
+                ));
             }
         }
         for (ask, request, answer) in &self.asked {
             let front = self.town.fronts.contains_key(&ask.from);
-            if !front || !matches!(request, Request::Write(_)) || !matches!(answer, Some((_, Response::Written))) {
+            if !front
+                || !matches!(request, Request::Write(_))
+                || !matches!(answer, Some((_, Response::Written)))
+            {
                 continue;
             }
             self.judged.leases += 1;
@@ -444,7 +490,8 @@
                 (who, by) == (&ask.from, &ask.to) && *at <= ask.came_ns && until >= ask.left_ns
             });
             if !held {
-                wrong.push(format!("a write of {} was taken by {} without a lease from it", ask.from, ask.to));
+                wrong
+                    .push(format!("a write of {} was taken by {} without a lease from it", ask.from, ask.to));
             }
         }
         wrong.into_iter().for_each(|what| self.breach(6, what));
--- a/crates/lilacpitch-lab/src/fleet/town.rs
+++ b/crates/lilacpitch-lab/src/fleet/town.rs
@@ -103,7 +103,7 @@
     program: PathBuf,
     plan: Plan,
     procs: Vec<Proc>,
-    servers: Option<(watch::Sender<bool>, JoinHandle<std::io::Result<Vec<Record>>>)>,
+    servers: Option<Served>,
 }
 
 impl Town {
--- a/crates/lilacpitch-lab/src/fleet/wire.rs
+++ b/crates/lilacpitch-lab/src/fleet/wire.rs
@@ -43,7 +43,7 @@
 }
 
 /// Which way.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Way {
     /// From who connected.
     Forth,
