--- a/crates/lilacpitch-lab/src/fleet/caller.rs
+++ b/crates/lilacpitch-lab/src/fleet/caller.rs
@@ -18,9 +18,14 @@
 impl Caller {
     /// Connects; with a number, it is reached there from now on.
     pub fn connect(front: SocketAddr, number: Option<&str>) -> Result<Self> {
-        let mut stream = TcpStream::connect_timeout(&front, Duration::from_secs(5))?;
+        Caller::connect_within(front, number, Duration::from_secs(10))
+    }
+
+    /// The same, and each step of it within a time.
+    pub fn connect_within(front: SocketAddr, number: Option<&str>, patience: Duration) -> Result<Self> {
+        let mut stream = TcpStream::connect_timeout(&front, patience)?;
         stream.set_nodelay(true)?;
-        stream.set_read_timeout(Some(Duration::from_secs(10)))?;
+        stream.set_read_timeout(Some(patience))?;
         let target = number.map_or("/call".into(), |n| format!("/call/{}", n.replace('#', "%23")));
         let key = handshake::key([7; 16]);
         stream.write_all(&handshake::client_request(&front.to_string(), &target, &key, CALL_PROTOCOL))?;
--- a/crates/lilacpitch-lab/src/fleet/judge.rs
+++ b/crates/lilacpitch-lab/src/fleet/judge.rs
@@ -89,11 +89,15 @@
     gone_ns: Option<u64>,
 }
 
+/// A question as it crossed, and its answer, if that arrived.
+type Asked<'a> = (&'a Crossed, &'a Request, Option<(&'a Crossed, &'a Response)>);
+/// A question: who asked whom over which connection, from which end, and its number.
+type Question = (usize, usize, u64, super::wire::Way, u64);
+
 struct Case<'a> {
     town: &'a Town,
     crossed: &'a [Crossed],
-    /// Each question with its answer, if that arrived.
-    asked: Vec<(&'a Crossed, &'a Request, Option<(&'a Crossed, &'a Response)>)>,
+    asked: Vec<Asked<'a>>,
     rows: BTreeMap<Key, RowLife>,
     judged: Judged,
     breaches: BTreeSet<Breach>,
@@ -106,8 +110,7 @@
     looks: &[Look],
     progress: &[Progress],
 ) -> (Vec<Breach>, Judged) {
-    let mut answers: BTreeMap<(usize, usize, u64, super::wire::Way, u64), (&Crossed, &Response)> =
-        BTreeMap::new();
+    let mut answers: BTreeMap<Question, (&Crossed, &Response)> = BTreeMap::new();
     for c in crossed {
         if let Body::Answer(id, response) = &c.body {
             answers.entry((c.to, c.from, c.conn, opposite(c.way), *id)).or_insert((c, response));
--- a/crates/lilacpitch-lab/src/fleet/mod.rs
+++ b/crates/lilacpitch-lab/src/fleet/mod.rs
@@ -4,9 +4,11 @@
 //!   swaps, slows and resets, each direction by itself, and reads what crosses.
 //! - [`town`]: sites and fronts as processes, their settings, signals and pages.
 //! - [`caller`]: a handset on a socket.
+//! - [`day`]: handsets that move, people who look, faults drawn over both.
 //! - [`judge`]: the eight promises, judged by what was seen at sockets alone.
 
 pub mod caller;
+pub mod day;
 pub mod judge;
 pub mod town;
 pub mod wire;
--- a/crates/lilacpitch-lab/src/fleet/town.rs
+++ b/crates/lilacpitch-lab/src/fleet/town.rs
@@ -138,9 +138,9 @@
             for (site, (name, parent, processes)) in plan.sites.iter().enumerate() {
                 let first = plan.sites[..site].iter().map(|(_, _, count)| count).sum::<usize>();
                 let mut all = Vec::new();
-                for to in first..first + processes {
-                    let address =
-                        if to == index { listen[to] } else { io("wire", wires.wire(index, to, listen[to]))? };
+                for (to, real) in listen.iter().enumerate().skip(first).take(*processes) {
+                    let own = to == index;
+                    let address = if own { *real } else { io("wire", wires.wire(index, to, *real))? };
                     all.push(format!("{:?}", address.to_string()));
                 }
                 // Writing to a String cannot fail.
@@ -238,6 +238,16 @@
         self.procs[front].callers
     }
 
+    /// Where a process's pages are.
+    pub fn pages(&self, index: usize) -> SocketAddr {
+        self.procs[index].pages
+    }
+
+    /// The site of a process; `None`: a front.
+    pub fn site_of(&self, index: usize) -> Option<&str> {
+        self.procs[index].place.map(|(site, _)| self.plan.sites[site].0.as_str())
+    }
+
     /// Whether a process runs, as far as the kernel says.
     pub fn runs(&mut self, index: usize) -> bool {
         self.procs[index].child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
--- a/crates/lilacpitch-lab/tests/fleet/main.rs
+++ b/crates/lilacpitch-lab/tests/fleet/main.rs
@@ -1,5 +1,6 @@
 //! The fleet as real processes, with faults between them.
 
+mod days;
 mod thin;
 
 use lilacpitch_lab::fleet::town::{Plan, Town};
--- a/crates/lilacpitch-site/src/log/mod.rs
+++ b/crates/lilacpitch-site/src/log/mod.rs
@@ -38,6 +38,10 @@
     WithdrawFront(String, u64),
     /// Changes up to this number are ordered, the last at this position.
     Ordered(u64, Position),
+    /// The register begins, empty, at this moment in milliseconds since 1970: what it may have held before is lost.
+    Begin(u64),
+    /// Whoever has rows here has had the time to write them again: what is not found is not there.
+    Ready,
     /// At the root: orders, in turn.
     Order(Vec<What>),
     /// At the root: a new log of orders begins.
--- a/crates/lilacpitch-site/src/log/state.rs
+++ b/crates/lilacpitch-site/src/log/state.rs
@@ -29,8 +29,10 @@
     pub ledger: Ledger,
     /// How often a front's rows were swept out: those that live write them again.
     pub sweeps: BTreeMap<String, u64>,
-    /// When this register began, in nanoseconds since 1970: rows of another are not here.
+    /// When this register began, in milliseconds since 1970: rows of another are not here.
     pub begun: u64,
+    /// Whoever has rows here has had the time to write them.
+    pub ready: bool,
 }
 
 /// The state of a site. The register is shared by threads; what is beside it stands under one lock, never held with
@@ -89,11 +91,19 @@
                 let mut beside = self.beside.lock();
                 let withdrawn = beside.window.withdrawn().clone();
                 beside.window = Window::at(Position { log, order: 0 }, withdrawn);
+                Applied::Done
+            }
+            Command::Begin(at_ms) => {
+                let mut beside = self.beside.lock();
                 if beside.begun == 0 {
-                    beside.begun = log;
+                    beside.begun = at_ms;
                 }
                 Applied::Done
             }
+            Command::Ready => {
+                self.beside.lock().ready = true;
+                Applied::Done
+            }
             Command::Audit(records) => {
                 let mut beside = self.beside.lock();
                 let refused =
--- a/crates/lilacpitch-site/src/process.rs
+++ b/crates/lilacpitch-site/src/process.rs
@@ -241,6 +241,7 @@
     tasks.spawn(rows::read(process.clone(), reading));
     tasks.spawn(rows::write(process.clone(), writing));
     tasks.spawn(rows::order_changes(process.clone()));
+    tasks.spawn(rows::begin(process.clone()));
     tasks.spawn(rows::sweep(process.clone()));
     tasks.spawn(summaries::poll(process.clone()));
     if let Some(listener) = page_listener {
--- a/crates/lilacpitch-site/src/rows.rs
+++ b/crates/lilacpitch-site/src/rows.rs
@@ -1,7 +1,7 @@
 //! Writes in batches, reads behind a barrier, and the purges that changes call for.
 
 use crate::log::{Applied, Command};
-use crate::process::{now, Process};
+use crate::process::{now, wall_ms, Process};
 use lilacpitch_fleet::audit::Record;
 use lilacpitch_fleet::message::{Refusal, Request, Response, RowChange, Scope, What};
 use lilacpitch_fleet::relay::ChildId;
@@ -188,6 +188,32 @@
     }
 }
 
+/// While this process leads: begins the register where there is none, and once all who may have had rows in a former
+/// one have surely heard of it, says that it is ready.
+pub(crate) async fn begin(process: Arc<Process>) {
+    let span = Duration::from_nanos(process.settings.terms.lease_ns);
+    loop {
+        let (begun, ready) = process.state.beside(|beside| (beside.begun != 0, beside.ready));
+        if ready {
+            return;
+        }
+        // Behind a barrier: what is on the disks may not be applied here yet.
+        let leads = process.leads() && process.reads.barrier().await;
+        let (Some(raft), true) = (process.raft(), leads) else {
+            tokio::time::sleep(AGAIN).await;
+            continue;
+        };
+        let next = if begun { Command::Ready } else { Command::Begin(wall_ms()) };
+        if begun {
+            tokio::time::sleep(span).await;
+        }
+        if let Err(error) = raft.client_write(next).await {
+            tracing::debug!(%error, "the register is not begun yet");
+            tokio::time::sleep(AGAIN).await;
+        }
+    }
+}
+
 /// Sweeps out rows of fronts that live no more: former lives at once, those without a lease after a while.
 pub(crate) async fn sweep(process: Arc<Process>) {
     let kept_ns = process.settings.terms.rows_kept_ns;
--- a/crates/lilacpitch-site/src/serve.rs
+++ b/crates/lilacpitch-site/src/serve.rs
@@ -52,7 +52,7 @@
                     self.counters.full.fetch_add(1, Relaxed);
                     return refused(Refusal::Full { wait_ms: FULL_WAIT_MS });
                 };
-                if self.guards.ages && !self.reads.barrier().await {
+                if self.guards.ages && !self.can_tell().await {
                     self.counters.behind.fetch_add(1, Relaxed);
                     return refused(Refusal::Behind);
                 }
@@ -212,6 +212,12 @@
         }
     }
 
+    /// Waits until this process can tell what its site holds: all that was acknowledged before now, and nothing lost
+    /// with a disk that those who wrote it have not had the time to write again.
+    pub(crate) async fn can_tell(&self) -> bool {
+        self.reads.barrier().await && self.state.beside(|beside| beside.ready)
+    }
+
     /// Up to which entry a read must wait; `None`: this process does not lead, or can't tell.
     pub(crate) async fn read_index(&self) -> Option<u64> {
         let (read, _) = self.raft()?.get_read_log_id().await.ok()?;
--- a/crates/lilacpitch-site/src/summaries.rs
+++ b/crates/lilacpitch-site/src/summaries.rs
@@ -27,7 +27,7 @@
     /// News of this site; none while this process can't tell whether it lags behind.
     async fn own_news(&self, known: &Known) -> Option<SiteNews> {
         let asked_ns = now();
-        if self.guards.ages && !self.reads.barrier().await {
+        if self.guards.ages && !self.can_tell().await {
             return None;
         }
         // What is not ordered is looked at first: a change that comes between is in the summary then, and if its
