--- a/crates/lilacpitch-edge/src/fleet/mod.rs
+++ b/crates/lilacpitch-edge/src/fleet/mod.rs
@@ -18,6 +18,7 @@
 use lilacpitch_fleet::cache::Cache;
 use lilacpitch_fleet::catalogue::Catalogue;
 use lilacpitch_fleet::holder::Holder;
+use lilacpitch_fleet::lease::Terms;
 use lilacpitch_fleet::message::Role;
 use lilacpitch_fleet::Guards;
 use lilacpitch_link::{steady_ns, Dialer, Me, Serve};
@@ -201,6 +202,11 @@
     let names = of.sites.iter().map(|site| site.name.as_str());
     let counts: Vec<usize> = sites.iter().map(|(_, ways)| ways.len()).collect();
     let timing = Timing { aim_ns: of.terms.ask_ns, tick_ns: edge.timing.tick_ns };
+    let terms = Terms {
+        lease_ns: of.terms.lease_ns,
+        clock_allowance: of.terms.clock_allowance,
+        straggler_ns: of.terms.straggler_ns,
+    };
     let (asks, asking) = ask::Asks::new(&counts, timing, seed);
     let agent = Arc::new(Agent {
         guards,
@@ -211,7 +217,7 @@
         above: Mutex::new(seed as usize),
         holder: Mutex::new(Holder::new(settings)),
         cache: Cache::new(of.cache, guards),
-        catalogue: RwLock::new(Catalogue::new(names, of.terms.settle_ns, guards)),
+        catalogue: RwLock::new(Catalogue::new(names, of.terms.settle_ns, terms, guards)),
         recorder: Mutex::new(Recorder::new(&edge.name, life)),
         rows: Mutex::new(rows::Rows::default()),
         rows_changed: watch::Sender::new(0),
--- a/crates/lilacpitch-fleet/src/catalogue.rs
+++ b/crates/lilacpitch-fleet/src/catalogue.rs
@@ -1,5 +1,6 @@
 //! Summaries of sites as a process has them, and which sites could hold what is asked for.
 
+use crate::lease::Terms;
 use crate::message::{Known, Pending, Position, SiteNews};
 use crate::{Guards, Nanos};
 use lilacpitch_register::summary::{fingerprint, shard_of};
@@ -46,15 +47,21 @@
 #[derive(Debug)]
 pub struct Catalogue {
     settle_ns: Nanos,
+    terms: Terms,
     guards: Guards,
     sites: BTreeMap<String, Summary>,
 }
 
 impl Catalogue {
     /// Of these sites, none heard of yet; a summary older than `settle_ns` rules nothing out.
-    pub fn new<'a>(sites: impl IntoIterator<Item = &'a str>, settle_ns: Nanos, guards: Guards) -> Self {
+    pub fn new<'a>(
+        sites: impl IntoIterator<Item = &'a str>,
+        settle_ns: Nanos,
+        terms: Terms,
+        guards: Guards,
+    ) -> Self {
         let sites = sites.into_iter().map(|name| (name.to_string(), Summary::default())).collect();
-        Catalogue { settle_ns, guards, sites }
+        Catalogue { settle_ns, terms, guards, sites }
     }
 
     fn fresh(&self, summary: &Summary, now: Nanos) -> Option<Nanos> {
@@ -127,7 +134,9 @@
             if summary.life != news.life && summary.as_of_ns.is_some_and(heard) {
                 continue;
             }
-            match take(summary, asked_ns, news) {
+            // Its age was measured by a clock that may be slower than this one.
+            let as_of_ns = asked_ns.saturating_sub(self.terms.outlasts(news.age_ns));
+            match take(summary, as_of_ns, news) {
                 Ok(lacks) => more |= lacks,
                 Err(error) => {
                     *summary = Summary::default();
@@ -200,7 +209,7 @@
 }
 
 /// Takes one site's news; whether it lacks something.
-fn take(summary: &mut Summary, asked_ns: Nanos, news: SiteNews) -> Result<bool, RegisterError> {
+fn take(summary: &mut Summary, as_of_ns: Nanos, news: SiteNews) -> Result<bool, RegisterError> {
     if news.shards == 0 || news.shards > MAX_SHARDS {
         return Err(RegisterError::Shards(news.shards as usize));
     }
@@ -217,7 +226,6 @@
     // Who says less than is known here lags behind: nothing is to be had from it.
     summary.lacks = summary.total < news.total;
     if summary.total == news.total {
-        let as_of_ns = asked_ns.saturating_sub(news.age_ns);
         // The older of two answers takes nothing back.
         if summary.as_of_ns.is_none_or(|held| held <= as_of_ns) {
             summary.as_of_ns = Some(as_of_ns);
--- a/crates/lilacpitch-lab/src/fleet/mod.rs
+++ b/crates/lilacpitch-lab/src/fleet/mod.rs
@@ -5,10 +5,12 @@
 //! - [`town`]: sites and fronts as processes, their settings, signals and pages.
 //! - [`caller`]: a handset on a socket.
 //! - [`day`]: handsets that move, people who look, faults drawn over both.
+//! - [`virtual_town`]: the same cores in virtual time, sites in tiers and fronts by the hundred.
 //! - [`judge`]: the eight promises, judged by what was seen at sockets alone.
 
 pub mod caller;
 pub mod day;
 pub mod judge;
 pub mod town;
+pub mod virtual_town;
 pub mod wire;
--- a/crates/lilacpitch-site/src/process.rs
+++ b/crates/lilacpitch-site/src/process.rs
@@ -207,7 +207,7 @@
         straggler_ns: settings.terms.straggler_ns,
     };
     let others = settings.sites.iter().map(|site| site.name.as_str()).filter(|name| *name != settings.site);
-    let catalogue = Catalogue::new(others, settings.terms.settle_ns, guards);
+    let catalogue = Catalogue::new(others, settings.terms.settle_ns, terms, guards);
     let (reads, reading) = rows::Reads::new();
     let (writes, writing) = rows::Writes::new();
     let process = Arc::new(Process {
