--- a/crates/lilacpitch-register/src/summary.rs
+++ b/crates/lilacpitch-register/src/summary.rs
@@ -105,7 +105,8 @@
     }
 
     /// Takes news that was asked for with a version that this one had. What is known by now from elsewhere is passed
-    /// over: a summary never goes back.
+    /// over, so that a summary never goes back; and so are changes that do not follow on what is known, where another
+    /// life was heard between question and answer: the versions then tell that something is missing.
     pub fn take(&mut self, news: &ShardNews) -> Result<(), RegisterError> {
         let wrong = |what| RegisterError::Summary { shard: news.shard, what };
         let first = news.version.checked_sub(news.added.len() as u64);
@@ -123,7 +124,7 @@
             self.heard.added.clear();
             self.late.clear();
         } else if first > self.version() {
-            return Err(wrong("changes that do not follow on what is known"));
+            return Ok(());
         } else {
             added = &added[(self.version() - first) as usize..];
         }
