--- a/crates/lilacpitch-edge/src/fleet/locate.rs
+++ b/crates/lilacpitch-edge/src/fleet/locate.rs
@@ -132,7 +132,8 @@
         drop(flights);
         let (agent, number, read_from_ns) = (self.clone(), number.clone(), flight.read_from_ns);
         tokio::spawn(async move {
-            let budget = Duration::from_nanos(agent.of.locate_longest_ns);
+            let times = if agent.guards.calls_first { 1 } else { 100 };
+            let budget = Duration::from_nanos(agent.of.locate_longest_ns * times);
             let answer = agent.ask_sites(locate, true, budget).await;
             if answer.complete && !agent.cache.fill(read_from_ns, &number, &answer) {
                 Counters::one(&agent.counters.not_filled);
--- a/crates/lilacpitch-edge/src/front/fleet.rs
+++ b/crates/lilacpitch-edge/src/front/fleet.rs
@@ -45,6 +45,8 @@
     /// What came and went in this round.
     pub rows: Vec<RowNews>,
     in_force: bool,
+    /// Off in tests of the judge alone.
+    pub calls_first: bool,
 }
 
 impl Fleet {
@@ -56,6 +58,7 @@
             there: BTreeMap::new(),
             rows: Vec::new(),
             in_force: true,
+            calls_first: true,
         }
     }
 
@@ -75,7 +78,8 @@
     /// How long a call may wait for the fleet; `None`: it does not ask.
     pub(super) fn asks_fleet(&self, asked: &Asked, budget_ns: Nanos) -> Option<Nanos> {
         let fleet = self.fleet.as_ref().filter(|_| asked.pool.is_none() && asked.number.is_some())?;
-        Some(((budget_ns as f64 * fleet.locate_share) as Nanos).min(fleet.locate_longest_ns))
+        let share = ((budget_ns as f64 * fleet.locate_share) as Nanos).min(fleet.locate_longest_ns);
+        Some(if fleet.calls_first { share } else { budget_ns })
     }
 
     /// The fleet has answered, or its time is up: the module gets the call, with what is left of its budget.
--- a/crates/lilacpitch-edge/src/front/mod.rs
+++ b/crates/lilacpitch-edge/src/front/mod.rs
@@ -257,6 +257,14 @@
         }
     }
 
+    /// Lets calls wait for the fleet as long as they like: for tests of the judge.
+    #[doc(hidden)]
+    pub fn calls_wait(&mut self) {
+        if let Some(fleet) = &mut self.fleet {
+            fleet.calls_first = false;
+        }
+    }
+
     /// When [`Input::Timeout`] is wanted next.
     pub fn next_timeout(&self) -> Option<Nanos> {
         self.timers.first()
--- a/crates/lilacpitch-edge/src/net/driver.rs
+++ b/crates/lilacpitch-edge/src/net/driver.rs
@@ -122,7 +122,10 @@
             Some(bound)
         }
     };
-    let front = Front::with_guards(settings.clone(), clock.now(), rng.next_u64(), guards);
+    let mut front = Front::with_guards(settings.clone(), clock.now(), rng.next_u64(), guards);
+    if !promises.calls_first {
+        front.calls_wait();
+    }
     let mut driver = Driver {
         front,
         clock,
--- a/crates/lilacpitch-lab/tests/fleet/main.rs
+++ b/crates/lilacpitch-lab/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 
 mod broken;
 mod days;
+mod hard;
 mod thin;
 
 use lilacpitch_lab::fleet::town::{Plan, Town};
