The audit of a moment is of that moment, also within the last second

Cause, seen in the audit's test: moments of the last second were answered with what was said last. Change: only a page without a moment is.

--- a/crates/lilacpitch-lab/tests/fleet/hard.rs
+++ b/crates/lilacpitch-lab/tests/fleet/hard.rs
@@ -110,7 +110,8 @@
     for breaks in ["", "records"] {
         let mut town = town(Plan { breaks: breaks.into(), ..plan(1) });
         let (root, front) = (town.index("root-0"), town.index("edge-1"));
-        assert!(town.wait(SOON, |t| audited(t, "edge-1", wall_ms()).is_some()), "{}", report(&town));
+        let start_ms = wall_ms();
+        assert!(town.wait(SOON, |t| audited(t, "edge-1", start_ms).is_some()), "{}", report(&town));
         // Ten purges, one after the other: what the front itself says that it has applied, and when.
         let mut seen = Vec::new();
         for n in 0..10 {
--- a/crates/lilacpitch-site/src/pages.rs
+++ b/crates/lilacpitch-site/src/pages.rs
@@ -1,6 +1,6 @@
 //! Pages for operators: what a process counts, who acted on which version, how far purges are.
 
-use crate::process::{now, wall_ms, Process};
+use crate::process::{now, Process};
 use lilacpitch_fleet::error::AuditError;
 use lilacpitch_fleet::message::{Request, Response, Scope, What};
 use lilacpitch_protocol::handshake::plain_response;
@@ -111,22 +111,25 @@
     }
 }
 
-fn moment(asked: &str) -> Result<u64, AuditError> {
+/// The moment that is asked for; `None`: what was said last.
+fn moment(asked: &str) -> Result<Option<u64>, AuditError> {
     match asked.strip_prefix("at=") {
-        None if asked.is_empty() => Ok(wall_ms()),
+        None if asked.is_empty() => Ok(None),
         None => Err(AuditError::Moment(asked.into())),
-        Some(text) => text.parse().map_err(|_| AuditError::Moment(text.into())),
+        Some(text) => text.parse().map(Some).map_err(|_| AuditError::Moment(text.into())),
     }
 }
 
-/// Which front acted on which version at a moment; of now also who lags.
-fn audit(process: &Process, at_ms: u64) -> String {
-    let mut out = format!("# at {at_ms}\n");
+/// Which front acted on which version at a moment; without one, what each life has said last, and by how many orders
+/// it lags.
+fn audit(process: &Process, at_ms: Option<u64>) -> String {
+    let mut out = at_ms.map_or("# last said\n".into(), |at_ms| format!("# at {at_ms}\n"));
     let position = process.relay.lock().position();
     process.state.beside(|beside| {
-        // Of now, what was said last is what is known.
-        let now = at_ms + 1_000 >= wall_ms();
-        let all: Vec<_> = if now { beside.ledger.last().collect() } else { beside.ledger.at(at_ms).collect() };
+        let all: Vec<_> = match at_ms {
+            None => beside.ledger.last().collect(),
+            Some(at_ms) => beside.ledger.at(at_ms).collect(),
+        };
         for acted in all {
             let lags = match acted.span.position.log == position.log {
                 true => position.order.saturating_sub(acted.span.moved_to).to_string(),
