--- a/crates/lilacpitch-lab/src/fleet/caller.rs
+++ b/crates/lilacpitch-lab/src/fleet/caller.rs
@@ -82,11 +82,23 @@
 
     /// Asks for a call to a number and waits for its answer; the call's id, to release it by.
     pub fn call(&mut self, class: &str, number: &str, budget: Duration) -> Result<(String, Answer)> {
+        self.call_pool(class, None, number, budget)
+    }
+
+    /// The same with a pool of first choice.
+    pub fn call_pool(
+        &mut self,
+        class: &str,
+        pool: Option<&str>,
+        number: &str,
+        budget: Duration,
+    ) -> Result<(String, Answer)> {
         self.calls += 1;
         let call = format!("c{}", self.calls);
         let budget_ms = budget.as_millis() as u64;
         let (class, number) = (class.to_string(), Some(number.to_string()));
-        self.say(&FromCaller::Setup { call: call.clone(), class, pool: None, number, budget_ms })?;
+        let pool = pool.map(String::from);
+        self.say(&FromCaller::Setup { call: call.clone(), class, pool, number, budget_ms })?;
         let until = Instant::now() + budget + Duration::from_secs(2);
         while Instant::now() < until {
             if let Some(ToCaller::Final { call: of, answer, .. }) = self.hear(Duration::from_millis(100))? {
