--- a/crates/lilacpitch-lab/tests/fleet_measures.rs
+++ b/crates/lilacpitch-lab/tests/fleet_measures.rs
@@ -174,6 +174,8 @@
                         position = Some(at);
                         renewed = Instant::now();
                     }
+                    // Its own way up is being made again.
+                    Response::Refused(_) => tokio::time::sleep(Duration::from_millis(50)).await,
                     other => panic!("{other:?}"),
                 }
             }
