A new leader of the root grants nothing before it has taken all that its log has

Found by reading: follow.rs confirm() took the position that a lease needs from the relay, which follows the applied log by a task of its own; a former leader may have reported later orders complete, so that a front could be granted a lease from before them. Change: the position is the log's; until the relay has reached it nothing is granted.

--- a/crates/lilacpitch-site/src/follow.rs
+++ b/crates/lilacpitch-site/src/follow.rs
@@ -102,7 +102,9 @@
         process.origin_term.store(term, Relaxed);
         tracing::info!(term, "leads the root");
     }
-    let position = process.relay.lock().position();
+    // What the log has, and not what the relay has taken from it so far: a former leader may have reported all of that
+    // complete, so that nobody may be granted a lease from before it.
+    let position = process.state.beside(|beside| beside.window.position());
     if position.log == 0 {
         if let Err(error) = raft.client_write(Command::NewLog(wall_ms())).await {
             tracing::warn!(%error, "no log of orders begun");
