The way upwards is decided in the fleet's core; one piece reads pages; less per order

Cause, on reading the change once more: which process above is followed, and when, stood in two shells with values of its own; reading a page in edge and laboratory; the front's loop heard of its settings with each order; a relay searched all children for each order to each; a straggler new at a process got no orders pushed. Change: upward.rs in lilacpitch-fleet, gaps of looks in asker.rs; net::fetch; settings in force said when that changes; what a child lacks is looked up, lease or none.

--- a/crates/lilacpitch-edge/src/cli.rs
+++ b/crates/lilacpitch-edge/src/cli.rs
@@ -94,11 +94,15 @@
 }
 
 fn peers(metrics: std::net::SocketAddr) -> ExitCode {
-    match fetch(metrics, "/peers") {
-        Ok(page) => {
+    match net::fetch(metrics, "GET", "/peers") {
+        Ok((200, page)) => {
             say(page.trim_end());
             ExitCode::SUCCESS
         }
+        Ok((status, _)) => {
+            eprintln!("lilacpitch-edge: {metrics}: status {status}");
+            ExitCode::FAILURE
+        }
         Err(error) => {
             eprintln!("lilacpitch-edge: {metrics}: {error}");
             ExitCode::FAILURE
@@ -106,26 +110,6 @@
     }
 }
 
-/// The body of a page that a running front serves.
-fn fetch(address: std::net::SocketAddr, target: &str) -> std::io::Result<String> {
-    use std::io::Read;
-    let patience = std::time::Duration::from_secs(5);
-    let mut stream = std::net::TcpStream::connect_timeout(&address, patience)?;
-    stream.set_read_timeout(Some(patience))?;
-    write!(stream, "GET {target} HTTP/1.1\r\nHost: {address}\r\n\r\n")?;
-    let mut bytes = Vec::new();
-    stream.take(1 << 20).read_to_end(&mut bytes)?;
-    let wrong = |what: String| std::io::Error::other(what);
-    match lilacpitch_protocol::http::response(&bytes) {
-        Ok(Some((head, taken))) if head.status == 200 => {
-            Ok(String::from_utf8_lossy(&bytes[taken..]).into_owned())
-        }
-        Ok(Some((head, _))) => Err(wrong(format!("status {}", head.status))),
-        Ok(None) => Err(wrong("no answer".into())),
-        Err(error) => Err(wrong(error.to_string())),
-    }
-}
-
 /// Says once what is wrong: drawn for a person at a terminal, else a line a mistake.
 fn complain(error: &ConfigError) {
     use std::io::IsTerminal;
--- a/crates/lilacpitch-edge/src/fleet/ask.rs
+++ b/crates/lilacpitch-edge/src/fleet/ask.rs
@@ -2,7 +2,7 @@
 
 use super::{Agent, CONNECT};
 use lilacpitch::interface::Outcome;
-use lilacpitch_fleet::asker::{Asker, Do, Timing};
+use lilacpitch_fleet::asker::{look_after_ns, Asker, Do, Timing};
 use lilacpitch_fleet::error::LocateError;
 use lilacpitch_fleet::message::{Refusal, Request, Response};
 use lilacpitch_link::{steady_ns, LinkError};
@@ -14,8 +14,6 @@
 use tokio::sync::{mpsc, oneshot};
 
 const QUEUE: usize = 16_384;
-/// The first and the longest gap between looks at a process that did not answer.
-const LOOK_AFTER: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(500));
 
 type Answered = Result<(Page, String), LocateError>;
 
@@ -166,15 +164,13 @@
 
 /// Asks a process that did not answer for nothing, at growing gaps, until it answers.
 async fn look_after(agent: Arc<Agent>, site: usize, process: usize, news: mpsc::Sender<News>) {
-    let mut gap = LOOK_AFTER.0;
-    loop {
-        tokio::time::sleep(gap).await;
+    for nth in 0.. {
+        tokio::time::sleep(Duration::from_nanos(look_after_ns(nth))).await;
         let way = &agent.sites[site].1[process];
         if way.ask(Request::Summaries(Vec::new()), CONNECT).await.is_ok() {
             let _ = news.send(News::Back(site, process)).await;
             return;
         }
-        gap = (gap * 2).min(LOOK_AFTER.1);
     }
 }
 
--- a/crates/lilacpitch-edge/src/fleet/follow.rs
+++ b/crates/lilacpitch-edge/src/fleet/follow.rs
@@ -7,44 +7,32 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// A lease is asked for again after this share of it.
-const RENEW_SHARE: u64 = 5;
-/// After so many failures the next process of the home site is followed.
-const FAILURES: u32 = 2;
-/// The longest gap after a failure.
-const AGAIN: Duration = Duration::from_millis(200);
-
 /// Keeps the lease in force.
 pub(super) async fn follow(agent: Arc<Agent>) {
-    let gap = Duration::from_nanos(agent.of.terms.lease_ns / RENEW_SHARE);
-    let mut failures = 0;
     loop {
         let (asked_ns, applied) = (steady_ns(), agent.holder.lock().position());
         let home = agent.above();
         let again = match home.ask(Request::Renew(applied), agent.patience()).await {
             Ok(Response::Refused(why)) => {
                 tracing::debug!(%why, "no lease");
-                failures += 1;
+                agent.above.lock().failed();
                 false
             }
             Ok(response) => {
-                failures = 0;
+                agent.above.lock().answered();
                 agent.renewed(asked_ns, response)
             }
             Err(error) => {
                 tracing::debug!(%error, "no lease");
-                failures += 1;
+                agent.above.lock().failed();
                 false
             }
         };
-        if failures >= FAILURES {
-            failures = 0;
-            *agent.above.lock() += 1;
-        }
         agent.note_version();
         agent.say_version(&home).await;
         if !again {
-            tokio::time::sleep(if failures > 0 { gap.min(AGAIN) } else { gap }).await;
+            let gap_ns = agent.above.lock().gap_ns(&agent.terms);
+            tokio::time::sleep(Duration::from_nanos(gap_ns)).await;
         }
     }
 }
@@ -75,7 +63,7 @@
 impl Agent {
     /// The process of the home site that is followed.
     pub(super) fn above(&self) -> Arc<Dialer> {
-        self.home[*self.above.lock() % self.home.len()].clone()
+        self.home[self.above.lock().pick(self.home.len())].clone()
     }
 
     pub(super) fn patience(&self) -> Duration {
@@ -101,12 +89,19 @@
         let again = !granted || holder.usable(steady_ns()).is_err();
         let in_force = !holder.is_withdrawn();
         drop(holder);
-        // Said with each answer: the front passes over what it knows.
-        let _ = self.say.try_send(FromAgent::InForce(in_force));
+        self.say_in_force(in_force);
         // A fresh start, or a lease that asks for more orders first, is worth another question at once.
         again && in_force
     }
 
+    /// Tells the front's loop whether its settings are in force, when that has changed: not with each order.
+    fn say_in_force(&self, in_force: bool) {
+        let mut said = self.in_force_said.lock();
+        if *said != in_force && self.say.try_send(FromAgent::InForce(in_force)).is_ok() {
+            *said = in_force;
+        }
+    }
+
     fn apply(&self, holder: &mut lilacpitch_fleet::holder::Holder, orders: Vec<Order>) {
         let now = steady_ns();
         for order in orders {
@@ -128,7 +123,7 @@
         }
         let (position, in_force) = (holder.position().unwrap_or_default(), !holder.is_withdrawn());
         drop(holder);
-        let _ = self.say.try_send(FromAgent::InForce(in_force));
+        self.say_in_force(in_force);
         self.note_version();
         Response::Applied(position)
     }
--- a/crates/lilacpitch-edge/src/fleet/mod.rs
+++ b/crates/lilacpitch-edge/src/fleet/mod.rs
@@ -20,6 +20,7 @@
 use lilacpitch_fleet::holder::Holder;
 use lilacpitch_fleet::lease::Terms;
 use lilacpitch_fleet::message::Role;
+use lilacpitch_fleet::upward::Upward;
 use lilacpitch_fleet::Guards;
 use lilacpitch_link::{steady_ns, Dialer, Me, Serve};
 use lilacpitch_peers::Keys;
@@ -92,7 +93,10 @@
     /// All sites, in the settings' order, and the ways to their processes.
     sites: Vec<(String, Vec<Arc<Dialer>>)>,
     /// Which process of the home site is followed now.
-    above: Mutex<usize>,
+    above: Mutex<Upward>,
+    /// What the front's loop was told last of its settings; it begins with them in force.
+    in_force_said: Mutex<bool>,
+    terms: Terms,
     holder: Mutex<Holder>,
     cache: Cache,
     catalogue: RwLock<Catalogue>,
@@ -214,7 +218,9 @@
         list: AtomicU64::new(0),
         home,
         sites,
-        above: Mutex::new(seed as usize),
+        above: Mutex::new(Upward::new(seed as usize)),
+        in_force_said: Mutex::new(true),
+        terms,
         holder: Mutex::new(Holder::new(settings)),
         cache: Cache::new(of.cache, guards),
         catalogue: RwLock::new(Catalogue::new(names, of.terms.settle_ns, terms, guards)),
--- a/crates/lilacpitch-edge/src/net/mod.rs
+++ b/crates/lilacpitch-edge/src/net/mod.rs
@@ -4,6 +4,7 @@
 //! connection, and bounded queues join them. A connection that can't keep up is ended, and never waited for.
 
 mod driver;
+mod fetch;
 mod file;
 mod metrics;
 mod news;
@@ -11,6 +12,7 @@
 mod talk;
 
 pub use driver::{run, run_with, Ready};
+pub use fetch::fetch;
 pub use lilacpitch_net::Clock;
 pub use news::RunError;
 pub use pump::{open, serve_handshake, Ended, Heard, Outgoing, Pump};
--- a/crates/lilacpitch-fleet/src/asker.rs
+++ b/crates/lilacpitch-fleet/src/asker.rs
@@ -17,6 +17,14 @@
     pub tick_ns: Nanos,
 }
 
+/// The first and the longest gap between looks at a process that left a question unanswered.
+const LOOK_AFTER_NS: (Nanos, Nanos) = (50_000_000, 500_000_000);
+
+/// How long to wait before a process that left a question unanswered is looked at for the `nth` time, from 0.
+pub fn look_after_ns(nth: u32) -> Nanos {
+    (LOOK_AFTER_NS.0 << nth.min(16)).min(LOOK_AFTER_NS.1)
+}
+
 /// What is to be done.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Do {
--- a/crates/lilacpitch-fleet/src/lib.rs
+++ b/crates/lilacpitch-fleet/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`message`]: what crosses the links between processes; [`frame`]: how it is sealed and kept in order.
 //! - [`lease`] and [`holder`]: until when what is cached may be used, and up to which purge it is true.
+//! - [`upward`]: which process above is followed.
 //! - [`relay`]: a process with others below it: grants leases, passes orders on, counts acknowledgements.
 //! - [`window`]: the orders kept for who missed some.
 //! - [`catalogue`]: summaries of sites, and which of them could hold a number; [`locate`]: one question to those.
@@ -27,6 +28,7 @@
 pub mod locate;
 pub mod message;
 pub mod relay;
+pub mod upward;
 pub mod window;
 
 /// The locks of [`cache`]; a test puts others in their place that try all orders.
--- a/crates/lilacpitch-fleet/src/relay.rs
+++ b/crates/lilacpitch-fleet/src/relay.rs
@@ -224,8 +224,14 @@
         fronts.map(|(id, child)| (id.clone(), now.saturating_sub(child.heard_ns))).collect()
     }
 
+    /// What a child has applied, and some of what it lacks; `None`: it is not known here.
+    pub fn lacks(&self, who: &ChildId) -> Option<(Position, Vec<Order>)> {
+        let applied = self.children.get(who)?.applied;
+        Some((applied, self.missing_orders(applied)))
+    }
+
     /// Up to so many of the orders that a child lacks.
-    pub fn missing_orders(&self, applied: Position) -> Vec<Order> {
+    fn missing_orders(&self, applied: Position) -> Vec<Order> {
         let same = applied.log == self.position().log;
         self.window.after(applied.order, MAX_ORDERS).filter(|_| same).unwrap_or_default()
     }
--- /dev/null
+++ b/crates/lilacpitch-fleet/src/upward.rs
@@ -0,0 +1,58 @@
+//! Which process above is followed, and how soon it is asked for a lease again.
+
+use crate::lease::Terms;
+use crate::Nanos;
+
+/// A lease is asked for again after this share of it.
+const RENEW_SHARE: u64 = 5;
+/// After so many failures in a row the next process is followed.
+const FAILURES: u32 = 2;
+/// The longest gap after a failure.
+const AGAIN_NS: Nanos = 200_000_000;
+
+/// The gap between two questions for a lease.
+pub fn renew_gap_ns(terms: &Terms) -> Nanos {
+    terms.lease_ns / RENEW_SHARE
+}
+
+/// The way upwards: one process of the site above, until it fails.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Upward {
+    at: usize,
+    failures: u32,
+}
+
+impl Upward {
+    /// Begins with the process at this place, counted round.
+    pub fn new(at: usize) -> Self {
+        Upward { at, failures: 0 }
+    }
+
+    /// The place of the one that is followed, of so many.
+    pub fn pick(&self, of: usize) -> usize {
+        self.at % of.max(1)
+    }
+
+    /// It has answered with more than a refusal.
+    pub fn answered(&mut self) {
+        self.failures = 0;
+    }
+
+    /// It has refused, or not answered.
+    pub fn failed(&mut self) {
+        self.failures += 1;
+        if self.failures >= FAILURES {
+            *self = Upward::new(self.at.wrapping_add(1));
+        }
+    }
+
+    /// When to ask next.
+    pub fn gap_ns(&self, terms: &Terms) -> Nanos {
+        let gap_ns = renew_gap_ns(terms);
+        if self.failures > 0 {
+            gap_ns.min(AGAIN_NS)
+        } else {
+            gap_ns
+        }
+    }
+}
--- a/crates/lilacpitch-fleet/tests/relay.rs
+++ b/crates/lilacpitch-fleet/tests/relay.rs
@@ -3,6 +3,7 @@
 use lilacpitch_fleet::lease::Terms;
 use lilacpitch_fleet::message::{Position, Refusal, Response, Scope, What};
 use lilacpitch_fleet::relay::{ChildId, Relay, Sum};
+use lilacpitch_fleet::upward::{renew_gap_ns, Upward};
 use lilacpitch_fleet::window::Window;
 use lilacpitch_fleet::Guards;
 
@@ -132,3 +133,26 @@
     // A fresh start that is not confirmed counts for nothing.
     assert!(!relay.takes_from(S, &front));
 }
+
+/// A straggler that is new here has no lease, and its orders go to it all the same.
+#[test]
+fn what_a_child_lacks_is_known_without_a_lease() {
+    let mut relay = relay();
+    relay.ordered(S, purge());
+    let front = child("edge-1", 1);
+    assert_eq!(granted(relay.renew(10 * S, &front, true, Some(at(0)), 0)), 0);
+    assert_eq!(relay.lacks(&front).map(|(applied, orders)| (applied, orders.len())), Some((at(0), 1)));
+    assert_eq!(relay.lacks(&child("edge-2", 1)), None);
+}
+
+#[test]
+fn the_next_process_above_is_followed_after_two_failures_in_a_row() {
+    let mut above = Upward::new(2);
+    above.failed();
+    assert!(above.gap_ns(&TERMS) < renew_gap_ns(&TERMS), "it is asked again soon");
+    above.answered();
+    above.failed();
+    assert_eq!((above.pick(3), above.pick(1)), (2, 0));
+    above.failed();
+    assert_eq!((above.pick(3), above.gap_ns(&TERMS)), (0, renew_gap_ns(&TERMS)));
+}
--- a/crates/lilacpitch-lab/src/fleet/day.rs
+++ b/crates/lilacpitch-lab/src/fleet/day.rs
@@ -3,8 +3,9 @@
 
 use super::caller::Caller;
 use super::judge::{self, Breach, Judged, Look, Progress};
-use super::town::{fetch, Plan, Town, TownError};
+use super::town::{Plan, Town, TownError};
 use super::wire::Fault;
+use lilacpitch_edge::net::fetch;
 use lilacpitch_link::steady_ns;
 use lilacpitch_register::Number;
 use rand::rngs::StdRng;
--- a/crates/lilacpitch-lab/src/fleet/town.rs
+++ b/crates/lilacpitch-lab/src/fleet/town.rs
@@ -4,14 +4,14 @@
 use crate::model::server::Make;
 use crate::record::Record;
 use crate::standin::{self, Play};
-use lilacpitch_edge::net::Clock;
+use lilacpitch_edge::net::{fetch, Clock};
 use lilacpitch_net::free_addresses;
 use lilacpitch_peers::Keys;
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
 use std::fmt::Write as _;
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::thread::JoinHandle;
@@ -359,20 +359,6 @@
     }
 }
 
-/// A page of a process on loopback: its status and body.
-pub fn fetch(address: SocketAddr, method: &str, target: &str) -> std::io::Result<(u16, String)> {
-    let patience = Duration::from_secs(5);
-    let mut stream = TcpStream::connect_timeout(&address, patience)?;
-    stream.set_read_timeout(Some(patience))?;
-    write!(stream, "{method} {target} HTTP/1.1\r\nHost: {address}\r\n\r\n")?;
-    let mut bytes = Vec::new();
-    stream.take(1 << 22).read_to_end(&mut bytes)?;
-    match lilacpitch_protocol::http::response(&bytes) {
-        Ok(Some((head, taken))) => Ok((head.status, String::from_utf8_lossy(&bytes[taken..]).into_owned())),
-        _ => Err(std::io::Error::other("no answer")),
-    }
-}
-
 type Served = (watch::Sender<bool>, JoinHandle<std::io::Result<Vec<Record>>>);
 
 /// Two servers with room for all in the pool of each site that fronts are at home in.
--- a/crates/lilacpitch-lab/src/fleet/virtual_town.rs
+++ b/crates/lilacpitch-lab/src/fleet/virtual_town.rs
@@ -11,6 +11,7 @@
     Order, Position, Refusal, Request, Response, RowChange, Scope, SiteNews, What,
 };
 use lilacpitch_fleet::relay::{ChildId, Relay, Sum};
+use lilacpitch_fleet::upward::renew_gap_ns;
 use lilacpitch_fleet::window::Window;
 use lilacpitch_fleet::{Guards, Nanos};
 use lilacpitch_register::{Holder as RowHolder, Key, Kind, Number, Query, Row};
@@ -267,7 +268,6 @@
 }
 
 const PATIENCE_NS: Nanos = 300 * MS;
-const RENEW_SHARE: u64 = 5;
 
 impl VirtualTown {
     /// A town of this shape, from a seed.
@@ -779,7 +779,7 @@
 
     fn tick(&mut self, of: usize) {
         let life = self.nodes[of].life;
-        let gap = self.true_span(of, self.shape.terms.lease_ns / RENEW_SHARE);
+        let gap = self.true_span(of, renew_gap_ns(&self.shape.terms));
         self.at(self.now + gap, Happens::Tick { of, life });
         if of == 0 {
             // Its leadership needs nobody's word.
@@ -829,8 +829,7 @@
                     format!("e{}", child - self.shape.above.len())
                 };
                 let id = ChildId { name, life: *life };
-                let applied = site.relay.children(0).find(|(who, _)| **who == id).map(|(_, applied)| applied);
-                let orders = applied.map_or(Vec::new(), |applied| site.relay.missing_orders(applied));
+                let orders = site.relay.lacks(&id).map_or(Vec::new(), |(_, orders)| orders);
                 if !orders.is_empty() && !site.sending.contains(child) {
                     sends.push((*child, log, orders));
                 }
--- a/crates/lilacpitch-lab/tests/fleet_measures.rs
+++ b/crates/lilacpitch-lab/tests/fleet_measures.rs
@@ -1,10 +1,11 @@
 //! Figures of the fleet for docs/measurements.md, in one run:
 //! `cargo test --release -p lilacpitch-lab --test fleet_measures -- --ignored --nocapture --test-threads 1`
 
+use lilacpitch_edge::net::fetch;
 use lilacpitch_fleet::message::{Request, Response, Role, RowChange};
 use lilacpitch_lab::fleet::caller::Caller;
 use lilacpitch_lab::fleet::day::TERMS;
-use lilacpitch_lab::fleet::town::{fetch, Plan, Town};
+use lilacpitch_lab::fleet::town::{Plan, Town};
 use lilacpitch_lab::fleet::virtual_town::{Shape, VirtualTown};
 use lilacpitch_link::{connect, Link, Me, Serve, Served};
 use lilacpitch_peers::Keys;
--- a/crates/lilacpitch-site/src/follow.rs
+++ b/crates/lilacpitch-site/src/follow.rs
@@ -11,10 +11,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// A lease is asked for again after this share of it.
-const RENEW_SHARE: u64 = 5;
-/// After so many failures the next process above is followed.
-const FAILURES: u32 = 2;
 /// How long a process of the root waits for its log to bring an order that it was told of.
 const LOG_PATIENCE: Duration = Duration::from_millis(500);
 /// The gap between looks at sums that wait for leases to run out, and between tries to say them.
@@ -34,7 +30,7 @@
 
 fn above(process: &Process) -> Above {
     if !process.is_root() {
-        return Above::Parent(process.parents[*process.above.lock() % process.parents.len()].clone());
+        return Above::Parent(process.parent());
     }
     match process.leader() {
         Some(place) if place == process.settings.place => Above::Origin,
@@ -45,8 +41,6 @@
 
 /// Keeps this process's own lease, or its leadership, in force.
 pub(crate) async fn follow(process: Arc<Process>) {
-    let gap = Duration::from_nanos(process.settings.terms.lease_ns / RENEW_SHARE);
-    let mut failures = 0;
     loop {
         let (asked_ns, position) = (now(), process.relay.lock().position());
         let again = match above(&process) {
@@ -62,16 +56,16 @@
                 let applied = process.holder.lock().position();
                 match parent.ask(Request::Renew(applied), process.patience()).await {
                     Ok(Response::Refused(why)) => {
-                        failures += 1;
+                        process.above.lock().failed();
                         tracing::debug!(%why, to = %parent.address, "no lease from above");
                         false
                     }
                     Ok(response) => {
-                        failures = 0;
+                        process.above.lock().answered();
                         renewed(&process, asked_ns, response)
                     }
                     Err(error) => {
-                        failures += 1;
+                        process.above.lock().failed();
                         tracing::debug!(%error, to = %parent.address, "no lease from above");
                         false
                     }
@@ -79,13 +73,10 @@
             }
             Above::Unknown => false,
         };
-        if failures >= FAILURES {
-            failures = 0;
-            *process.above.lock() += 1;
-        }
         if !again {
             process.acked.send_modify(|count| *count += 1);
-            tokio::time::sleep(if failures > 0 { gap.min(Duration::from_millis(200)) } else { gap }).await;
+            let gap_ns = process.above.lock().gap_ns(&process.terms);
+            tokio::time::sleep(Duration::from_nanos(gap_ns)).await;
         }
     }
 }
@@ -204,8 +195,7 @@
         ordered.borrow_and_update();
         let lacks = {
             let relay = process.relay.lock();
-            let applied = relay.children(0).find(|(id, _)| **id == who).map(|(_, applied)| applied);
-            applied.map(|applied| (relay.position().log, applied, relay.missing_orders(applied)))
+            relay.lacks(&who).map(|(applied, orders)| (relay.position().log, applied, orders))
         };
         let Some((log, applied, orders)) = lacks else { return };
         if orders.is_empty() {
--- a/crates/lilacpitch-site/src/process.rs
+++ b/crates/lilacpitch-site/src/process.rs
@@ -13,6 +13,7 @@
 use lilacpitch_fleet::lease::Terms;
 use lilacpitch_fleet::message::{Request, Role};
 use lilacpitch_fleet::relay::{ChildId, Relay};
+use lilacpitch_fleet::upward::Upward;
 use lilacpitch_fleet::Guards;
 use lilacpitch_link::{accept, steady_ns, Dialer, Link, Me, Serve, Served};
 use lilacpitch_peers::Keys;
@@ -107,7 +108,8 @@
     pub(crate) ordered: watch::Sender<u64>,
     pub(crate) acked: watch::Sender<u64>,
     /// Which process above is followed now.
-    pub(crate) above: Mutex<usize>,
+    pub(crate) above: Mutex<Upward>,
+    pub(crate) terms: Terms,
     /// The term in which this process was last confirmed to lead the root, and all who may hold leases of a former
     /// leader were reckoned with; 0: none.
     pub(crate) origin_term: AtomicU64,
@@ -141,6 +143,11 @@
         self.parents.is_empty()
     }
 
+    /// The process of the site above that is followed; the root has none.
+    pub(crate) fn parent(&self) -> Arc<Dialer> {
+        self.parents[self.above.lock().pick(self.parents.len())].clone()
+    }
+
     /// The place of who leads the site's log, as far as this process knows.
     pub(crate) fn leader(&self) -> Option<usize> {
         self.raft().and_then(|raft| raft.metrics().borrow().current_leader).map(|place| place as usize)
@@ -223,7 +230,8 @@
         children: Mutex::new(BTreeMap::new()),
         ordered: watch::Sender::new(0),
         acked: watch::Sender::new(0),
-        above: Mutex::new(settings.place),
+        above: Mutex::new(Upward::new(settings.place)),
+        terms,
         origin_term: AtomicU64::new(0),
         reads,
         writes,
--- a/crates/lilacpitch-site/src/serve.rs
+++ b/crates/lilacpitch-site/src/serve.rs
@@ -112,7 +112,7 @@
                 None => return refused(Refusal::NoLeader),
             }
         }
-        let parent = self.parents[*self.above.lock() % self.parents.len()].clone();
+        let parent = self.parent();
         parent.ask(ask, self.patience() * 2).await.unwrap_or_else(|e| refused(Refusal::Failed(e.to_string())))
     }
 
@@ -129,9 +129,10 @@
             // Fresh in the lead, it knows of nobody below yet.
             Request::Progress if !self.is_origin() => refused(Refusal::NoLeader),
             Request::Progress => {
-                let sum = self.relay.lock().sum(now());
+                let mut relay = self.relay.lock();
+                let sum = relay.sum(now());
                 Response::Progress {
-                    ordered: self.relay.lock().position(),
+                    ordered: relay.position(),
                     complete: sum.upto.order,
                     missing: sum.missing,
                     missing_count: sum.missing_count,
--- a/crates/lilacpitch-site/src/summaries.rs
+++ b/crates/lilacpitch-site/src/summaries.rs
@@ -60,8 +60,7 @@
         let processes = below.into_iter().filter(|link| matches!(link.peer.role, Role::Process(..)));
         let mut ways: Vec<Way> = processes.map(Way::Below).collect();
         if !process.is_root() {
-            let at = *process.above.lock() % process.parents.len();
-            ways.push(Way::Above(process.parents[at].clone()));
+            ways.push(Way::Above(process.parent()));
         } else if let Some(place) = process.leader().filter(|place| *place != process.settings.place) {
             ways.extend(process.siblings.get(place).cloned().map(Way::Above));
         }
