--- a/crates/lilacpitch-lab/src/fleet/day.rs
+++ b/crates/lilacpitch-lab/src/fleet/day.rs
@@ -3,11 +3,10 @@
 
 use super::caller::Caller;
 use super::judge::{self, Breach, Judged, Look, Progress};
+use super::scene;
 use super::town::{Plan, Town, TownError};
 use super::wire::Fault;
-use lilacpitch_edge::net::fetch;
 use lilacpitch_link::steady_ns;
-use lilacpitch_register::Number;
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
@@ -235,30 +234,15 @@
     let mut rng = StdRng::seed_from_u64(day.seed ^ (front as u64) << 8);
     while !shared.over.load(Ordering::Relaxed) {
         std::thread::sleep(Duration::from_millis(10));
-        let text = number(rng.random_range(0..day.numbers));
-        let began_ns = steady_ns();
-        let Ok((200, page)) = fetch(pages, "GET", &format!("/locate?number={text}")) else { continue };
-        let ended_ns = steady_ns();
-        if let Ok(number) = Number::new(&text) {
-            locked(&shared.looks).push(Look { front, number, began_ns, ended_ns, page });
-        }
+        let seen = scene::look(pages, front, &number(rng.random_range(0..day.numbers)));
+        locked(&shared.looks).extend(seen);
     }
 }
 
 fn ask_progress(shared: &Shared, by: usize, pages: SocketAddr) {
     while !shared.over.load(Ordering::Relaxed) {
         std::thread::sleep(Duration::from_millis(25));
-        let began_ns = steady_ns();
-        let Ok((200, page)) = fetch(pages, "GET", "/purges") else { continue };
-        let ended_ns = steady_ns();
-        let field = |name: &str| page.lines().find_map(|line| line.strip_prefix(name));
-        let log = field("ordered ")
-            .and_then(|p| p.split_once('/'))
-            .and_then(|(log, _)| u64::from_str_radix(log, 16).ok());
-        let complete = field("complete ").and_then(|c| c.parse().ok());
-        if let (Some(log), Some(complete)) = (log, complete) {
-            locked(&shared.progress).push(Progress { by, began_ns, ended_ns, log, complete });
-        }
+        locked(&shared.progress).extend(scene::progress(pages, by));
     }
 }
 
--- a/crates/lilacpitch-lab/src/fleet/judge.rs
+++ b/crates/lilacpitch-lab/src/fleet/judge.rs
@@ -32,6 +32,8 @@
     pub ended_ns: u64,
     /// The log.
     pub log: u64,
+    /// The last order.
+    pub ordered: u64,
     /// Complete up to here.
     pub complete: u64,
 }
--- a/crates/lilacpitch-lab/src/fleet/mod.rs
+++ b/crates/lilacpitch-lab/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 //!   swaps, slows and resets, each direction by itself, and reads what crosses.
 //! - [`town`]: sites and fronts as processes, their settings, signals and pages.
 //! - [`caller`]: a handset on a socket.
+//! - [`scene`]: one thing after the other in a town.
 //! - [`day`]: handsets that move, people who look, faults drawn over both.
 //! - [`virtual_town`]: the same cores in virtual time, sites in tiers and fronts by the hundred.
 //! - [`judge`]: the eight promises, judged by what was seen at sockets alone.
@@ -11,6 +12,7 @@
 pub mod caller;
 pub mod day;
 pub mod judge;
+pub mod scene;
 pub mod town;
 pub mod virtual_town;
 pub mod wire;
