A process with a new disk votes and leads only once it has all that was acknowledged

Cause: of three processes of a site one that lost its disk and a stale one elected each other, without orders that the leader and the lost disk had acknowledged (a test with the new switch 'disks' off sees that). Change: rejoin.rs in the fleet's core says how many others a new disk must hear (N - q + 1), whose vote it takes over, and when the log has not begun; the site's join.rs asks them, follows without elections, and takes part in full behind a read barrier. The start says that it listens before the log is joined. A town's process can move to another address and have little room on its disk. Tests with seven to nine processes: two that both think they lead, a new disk beside a stale process, a full disk, a member at another address.

--- a/crates/lilacpitch-fleet/src/lib.rs
+++ b/crates/lilacpitch-fleet/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`lease`] and [`holder`]: until when what is cached may be used, and up to which purge it is true.
 //! - [`upward`]: which process above is followed.
 //! - [`relay`]: a process with others below it: grants leases, passes orders on, counts acknowledgements.
+//! - [`rejoin`]: when a process with a new disk takes part in its site's log.
 //! - [`window`]: the orders kept for who missed some.
 //! - [`catalogue`]: summaries of sites, and which of them could hold a number; [`locate`]: one question to those.
 //! - [`asker`]: which process of a site gets a question and whether again: the module decides, as for calls.
@@ -27,6 +28,7 @@
 pub mod lease;
 pub mod locate;
 pub mod message;
+pub mod rejoin;
 pub mod relay;
 pub mod upward;
 pub mod window;
@@ -45,6 +47,8 @@
 pub struct Guards {
     /// Promise 1: a summary that is too old rules nothing out, and a process behind its site says so.
     pub ages: bool,
+    /// Promise 1: a process with a new disk takes no part before it has heard what its former one may have promised.
+    pub disks: bool,
     /// Promise 2: who was not reached is named.
     pub says: bool,
     /// Promise 3: cached answers end with the lease.
@@ -68,6 +72,7 @@
         let on = true;
         Guards {
             ages: on,
+            disks: on,
             says: on,
             leases: on,
             refills: on,
--- a/crates/lilacpitch-fleet/src/message.rs
+++ b/crates/lilacpitch-fleet/src/message.rs
@@ -1,6 +1,7 @@
 //! What crosses the links between processes of the fleet, as `postcard` writes it.
 
 use crate::audit::Record;
+use crate::rejoin::LogVote;
 use lilacpitch_register::{Key, Number, Page, Query, Row, ShardNews};
 use serde::{Deserialize, Serialize};
 use std::fmt;
@@ -201,6 +202,8 @@
     Summaries(Vec<Known>),
     /// Within a site: up to which entry of its log must be applied before a read.
     ReadIndex,
+    /// Within a site, from a process whose disk is new: which vote does this one hold?
+    Standing,
     /// Within a site: all rows go that a front wrote in lives before this one.
     Sweep(String, u64),
     /// Within a site: for its leader, on behalf of the front or process named, by name and life.
@@ -269,6 +272,8 @@
     Summaries(Vec<SiteNews>),
     /// Up to this entry.
     ReadIndex(u64),
+    /// The vote in the site's log that this process holds; `None`: its disk is new.
+    Standing(Option<LogVote>),
     /// An answer of the log library, or its error, in its own form.
     Log(Result<Vec<u8>, Vec<u8>>),
     /// Done.
--- a/crates/lilacpitch-lab/src/cli.rs
+++ b/crates/lilacpitch-lab/src/cli.rs
@@ -325,6 +325,7 @@
     for name in names.split(',').filter(|name| !name.is_empty()) {
         let guard = match name {
             "ages" => &mut guards.ages,
+            "disks" => &mut guards.disks,
             "says" => &mut guards.says,
             "leases" => &mut guards.leases,
             "refills" => &mut guards.refills,
--- a/crates/lilacpitch-lab/src/fleet/wire.rs
+++ b/crates/lilacpitch-lab/src/fleet/wire.rs
@@ -120,6 +120,11 @@
         Ok(address)
     }
 
+    /// Drops the ways to a process: who asks for one again gets another address.
+    pub fn forget(&mut self, to: usize) {
+        self.wires.retain(|(_, whom), _| *whom != to);
+    }
+
     /// What happens from now on to what `from` sends over connections that `who` made to `whom`.
     pub fn fault(&self, who: usize, whom: usize, way: Way, fault: Fault) {
         if let Some(wire) = self.wires.get(&(who, whom)) {
--- a/crates/lilacpitch-lab/tests/fleet/main.rs
+++ b/crates/lilacpitch-lab/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 mod broken;
 mod days;
 mod hard;
+mod parted;
 mod thin;
 
 use lilacpitch_lab::fleet::town::{Plan, Town};
--- a/crates/lilacpitch-site/src/log/mod.rs
+++ b/crates/lilacpitch-site/src/log/mod.rs
@@ -2,8 +2,10 @@
 //!
 //! **What is durable when.** An entry is answered once it is committed: on the disks of most of the site's processes,
 //! synced, before the one that wrote it hears of it. So are votes. What was applied and not yet put into a snapshot is
-//! applied again after a start. A snapshot is a file, checked by a hash, that takes its place by renaming.
+//! applied again after a start. A snapshot is a file, checked by a hash, that takes its place by renaming. With a new disk
+//! a process votes for nobody, and leads nobody, before it has all that was acknowledged: `join`.
 
+pub(crate) mod join;
 pub mod machine;
 pub mod network;
 pub mod state;
@@ -14,7 +16,6 @@
 use openraft::{BasicNode, Config, SnapshotPolicy};
 use serde::{Deserialize, Serialize};
 use std::io::Cursor;
-use std::sync::Arc;
 
 openraft::declare_raft_types!(
     /// The types of a site's log.
@@ -91,24 +92,3 @@
         ..Config::default()
     }
 }
-
-/// Starts the log over a store and a machine.
-pub async fn start(
-    place: u64,
-    processes: usize,
-    store: store::Store,
-    machine: machine::Machine,
-    network: network::Network,
-) -> Result<Raft, String> {
-    let config = Arc::new(config().validate().map_err(|e| e.to_string())?);
-    let raft = Raft::new(place, config, network, store, machine).await.map_err(|e| e.to_string())?;
-    if !raft.is_initialized().await.map_err(|e| e.to_string())? {
-        let members: std::collections::BTreeMap<u64, BasicNode> =
-            (0..processes as u64).map(|place| (place, BasicNode::default())).collect();
-        // All begin with the same members; who is told of others meanwhile has no need to.
-        if let Err(error) = raft.initialize(members).await {
-            tracing::info!(%error, "the log is there already");
-        }
-    }
-    Ok(raft)
-}
--- a/crates/lilacpitch-site/src/log/store.rs
+++ b/crates/lilacpitch-site/src/log/store.rs
@@ -78,6 +78,16 @@
         })
     }
 
+    /// Whether this disk holds all that its process ever promised to the site.
+    pub fn joined(&self) -> Result<bool, String> {
+        Ok(self.read::<bool>("joined")?.unwrap_or(false))
+    }
+
+    /// It does from now on.
+    pub fn keep_joined(&self) -> Result<(), StorageError<u64>> {
+        self.write("joined", &true)
+    }
+
     fn snapshot_path(&self) -> PathBuf {
         self.folder.join(SNAPSHOT)
     }
--- a/crates/lilacpitch-site/src/process.rs
+++ b/crates/lilacpitch-site/src/process.rs
@@ -1,10 +1,9 @@
 //! What one process of a site is made of, and its start.
 
 use crate::log::machine::Machine;
-use crate::log::network::Network;
 use crate::log::state::State;
 use crate::log::store::Store;
-use crate::log::{self, Raft};
+use crate::log::{join, Raft};
 use crate::{follow, pages, rows, summaries};
 use lilacpitch_config::Site;
 use lilacpitch_fleet::catalogue::Catalogue;
@@ -12,6 +11,7 @@
 use lilacpitch_fleet::holder::Holder;
 use lilacpitch_fleet::lease::Terms;
 use lilacpitch_fleet::message::{Request, Role};
+use lilacpitch_fleet::rejoin::Rejoin;
 use lilacpitch_fleet::relay::{ChildId, Relay};
 use lilacpitch_fleet::upward::Upward;
 use lilacpitch_fleet::Guards;
@@ -22,7 +22,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::Path;
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicBool, AtomicU64};
 use std::sync::{Arc, OnceLock, Weak};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use thiserror::Error;
@@ -94,6 +94,11 @@
     pub(crate) guards: Guards,
     pub(crate) state: Arc<State>,
     pub(crate) raft: OnceLock<Raft>,
+    pub(crate) store: Store,
+    /// This process takes part in full: its disk holds all that it ever promised.
+    pub(crate) joined: AtomicBool,
+    /// With a new disk: what was heard of the others.
+    pub(crate) rejoin: Mutex<Rejoin>,
     /// The index of the last entry applied here.
     pub(crate) applied: watch::Receiver<u64>,
     /// The site's processes by place, this one's own place among them.
@@ -187,6 +192,7 @@
     let store = Store::open(Path::new(&settings.data), &owner)?;
     let state = Arc::new(State::new(settings.shards)?);
     let damaged = |what| LogError::Damaged { path: settings.data.clone(), what };
+    let joined = AtomicBool::new(store.joined().map_err(damaged)?);
     let (machine, applied) = Machine::open(state.clone(), store.clone()).map_err(damaged)?;
 
     let door = Arc::new(Door::default());
@@ -221,8 +227,11 @@
         guards,
         state,
         raft: OnceLock::new(),
+        store,
+        joined,
+        rejoin: Mutex::new(Rejoin::new(siblings.len())),
         applied,
-        siblings: siblings.clone(),
+        siblings,
         parents,
         relay: Mutex::new(Relay::new(terms, guards)),
         holder: Mutex::new(Holder::default()),
@@ -241,9 +250,6 @@
         settings,
     });
     let _ = door.0.set(Arc::downgrade(&process));
-    let (place, count) = (process.settings.place as u64, siblings.len());
-    let raft = log::start(place, count, store, machine, Network(siblings)).await.map_err(LogError::Disk)?;
-    let _ = process.raft.set(raft.clone());
 
     let mut tasks = tokio::task::JoinSet::new();
     tasks.spawn(accept_all(process.clone(), listener));
@@ -261,20 +267,27 @@
     }
     ready(Ready { links, pages: page_address });
     tracing::info!(%links, life, "listening");
-    let mut metrics = raft.metrics();
-    let failed = metrics.wait_for(|metrics| metrics.running_state.is_err());
+    let failed = async {
+        let raft = match join::join(&process, machine).await {
+            Ok(raft) => raft,
+            Err(error) => return RunError::Log(error),
+        };
+        let _ = process.raft.set(raft.clone());
+        let mut metrics = raft.metrics();
+        let why = match metrics.wait_for(|metrics| metrics.running_state.is_err()).await {
+            Ok(metrics) => metrics.running_state.clone().err().map_or(String::new(), |e| e.to_string()),
+            Err(_) => "the log has ended".into(),
+        };
+        RunError::Log(LogError::Disk(why))
+    };
     let ended = tokio::select! {
         () = stop => Ok(()),
-        failed = failed => {
-            let why = match failed {
-                Ok(metrics) => metrics.running_state.clone().err().map_or(String::new(), |e| e.to_string()),
-                Err(_) => "the log has ended".into(),
-            };
-            Err(RunError::Log(LogError::Disk(why)))
-        }
+        error = failed => Err(error),
     };
     tasks.shutdown().await;
-    let _ = raft.shutdown().await;
+    if let Some(raft) = process.raft() {
+        let _ = raft.shutdown().await;
+    }
     tracing::info!("stopped");
     ended
 }
--- a/crates/lilacpitch-site/src/serve.rs
+++ b/crates/lilacpitch-site/src/serve.rs
@@ -66,10 +66,16 @@
                 Some(index) => Response::ReadIndex(index),
                 None => refused(Refusal::Behind),
             },
+            Request::Standing if is_sibling => match &from.peer.role {
+                Role::Process(_, place) => self.standing(*place as usize).await,
+                Role::Front => refused(Refusal::Unwanted),
+            },
             Request::Log(message) if is_sibling => self.log_message(message).await,
-            Request::Forwarded(..) | Request::Sweep(..) | Request::ReadIndex | Request::Log(_) => {
-                refused(Refusal::Unwanted)
-            }
+            Request::Forwarded(..)
+            | Request::Sweep(..)
+            | Request::ReadIndex
+            | Request::Standing
+            | Request::Log(_) => refused(Refusal::Unwanted),
         }
     }
 
@@ -205,6 +211,8 @@
                 Ok(rpc) => said(raft.append_entries(rpc).await),
                 Err(refusal) => refused(refusal),
             },
+            // On a former disk this process may have promised what such a vote would break.
+            LogMessage::Vote(_) if !self.joined.load(Relaxed) => refused(Refusal::Behind),
             LogMessage::Vote(bytes) => match read::<VoteRequest<u64>>(&bytes) {
                 Ok(rpc) => said(raft.vote(rpc).await),
                 Err(refusal) => refused(refusal),
