--- a/crates/lilacpitch-lab/src/day.rs
+++ b/crates/lilacpitch-lab/src/day.rs
@@ -220,6 +220,34 @@
     pub servers: Vec<(ServerMake, bool)>,
 }
 
+/// A front's spans (from, to, front), those that meet made one: it is down, or stands still, until the last of them ends.
+fn joined(spans: &[(Nanos, Nanos, usize)]) -> Vec<(Nanos, Nanos, usize)> {
+    let mut order = spans.to_vec();
+    order.sort_unstable_by_key(|(from, to, front)| (*front, *from, *to));
+    let mut all: Vec<(Nanos, Nanos, usize)> = Vec::new();
+    for (from, to, front) in order {
+        match all.last_mut().filter(|(_, until, of)| *of == front && from <= *until) {
+            Some((_, until, _)) => *until = to.max(*until),
+            None => all.push((from, to, front)),
+        }
+    }
+    all
+}
+
+/// What is left of standstills beside restarts: one ends with the life that it began in, and who is down can't begin
+/// one.
+fn lived(freeze: &[(Nanos, Nanos, usize)], restart: &[(Nanos, Nanos, usize)]) -> Vec<(Nanos, Nanos, usize)> {
+    let of = |front| restart.iter().filter(move |(.., whose)| *whose == front);
+    let begins = |(from, _, front): &&(Nanos, Nanos, usize)| {
+        !of(*front).any(|(down, up, _)| (*down..*up).contains(from))
+    };
+    let ends = |(from, to, front): &(Nanos, Nanos, usize)| {
+        let killed = of(*front).map(|(down, ..)| *down).filter(|down| down > from).min();
+        (*from, killed.map_or(*to, |down| down.min(*to)), *front)
+    };
+    freeze.iter().filter(begins).map(ends).collect()
+}
+
 impl Day {
     /// Reads and checks a day file.
     pub fn load(path: &Path) -> Result<Day, ConfigError> {
@@ -332,6 +360,8 @@
         script.server.sort_by_key(|e| (e.0, e.1));
         script.list.sort_by_key(|e| (e.0, e.1));
         script.leave.sort_unstable();
+        script.restart = joined(&script.restart);
+        script.freeze = lived(&joined(&script.freeze), &script.restart);
         script
     }
 
--- a/crates/lilacpitch-lab/tests/restarts.rs
+++ b/crates/lilacpitch-lab/tests/restarts.rs
@@ -24,7 +24,9 @@
 ]
 troubles: [
 	{kind: "restart", at: "1s", for: "1s", edges: [0]},
+	{kind: "freeze", at: "700ms", for: "2s", edges: [0]},
 	{kind: "restart", at: "3s", for: "500ms", edges: [1, 2]},
+	{kind: "restart", at: "3.2s", for: "200ms", edges: [1]},
 	{kind: "peers_damaged", at: "0s", for: "6s", size: 0.4},
 	{kind: "silent", at: "2s", for: "3s", servers: ["r3"]},
 ]
--- a/crates/lilacpitch-lab/tests/virtual_days.rs
+++ b/crates/lilacpitch-lab/tests/virtual_days.rs
@@ -8,7 +8,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
-const KINDS: [&str; 10] = [
+const KINDS: [&str; 11] = [
     "slow",
     "silent",
     "still",
@@ -19,6 +19,7 @@
     "reset",
     "freeze",
     "callers_leave",
+    "restart",
 ];
 
 /// A day of 20 s as text: so many fronts and servers, and troubles of any kind, at any time, of any size.
@@ -174,6 +175,33 @@
     }
 }
 
+/// A front that is killed twice is down until the later start; a standstill ends with the life that it began in.
+#[test]
+fn troubles_of_one_front_that_overlap_have_one_meaning() {
+    let trouble = |kind: &str, at: u64, lasts: u64| {
+        format!("{{kind: {kind:?}, at: \"{at}s\", for: \"{lasts}s\", edges: [0]}}, ")
+    };
+    let troubles = [
+        trouble("restart", 2, 3),
+        trouble("restart", 4, 4),
+        trouble("freeze", 1, 5),
+        trouble("freeze", 6, 6),
+        trouble("freeze", 9, 1),
+    ];
+    let text = format!(
+        "length: \"20s\"\nedges: 2\nper_s: 20\nclasses: [{{name: \"a\", aim: \"1s\", give_up: \"5s\", worth: 1}}]\n\
+         servers: [{{name: \"r\", pool: \"p\", per_s: 60}}]\ntroubles: [{}]\n",
+        troubles.concat()
+    );
+    let day = Day::from_text("overlaps", &text).unwrap();
+    let s = |s: u64| s * 1_000_000_000;
+    let script = day.script();
+    assert_eq!(script.restart, vec![(s(2), s(8), 0)]);
+    // The one from 1 s on ended with its life; the one from 6 s on met nobody, and took the one from 9 s on with it.
+    assert_eq!(script.freeze, vec![(s(1), s(2), 0)]);
+    assert_eq!(play(&day, Guards::default()).unwrap().breaches, vec![]);
+}
+
 fn bad_day() -> Day {
     Day::from_text("bad.cue", include_str!("../../../days/bad.cue")).unwrap()
 }
