--- a/crates/lilacpitch-lab/src/fleet/town.rs
+++ b/crates/lilacpitch-lab/src/fleet/town.rs
@@ -37,6 +37,8 @@
     pub terms: String,
     /// More of the `fleet` of fronts; may be empty.
     pub fleet: String,
+    /// More settings of sites' processes; may be empty.
+    pub site: String,
     /// More settings of fronts, as a rollout would bring; may be empty.
     pub front: String,
     /// Of the network's draws.
@@ -60,6 +62,7 @@
             fronts,
             terms: String::new(),
             fleet: String::new(),
+            site: String::new(),
             front: String::new(),
             seed: 1,
             record: true,
@@ -179,8 +182,8 @@
             Some((site, place)) => format!(
                 "name: {name:?}\nsite: {:?}\nplace: {place}\nlisten: \"{own}\"\npages: \"{pages}\"\n\
                  data: \"data-{name}\"\nkey_file: \"key\"\nsites: [\n{seen}]\nterms: {{{terms}}}\n\
-                 log: level: {:?}\n",
-                plan.sites[*site].0, plan.log
+                 log: level: {:?}\n{}\n",
+                plan.sites[*site].0, plan.log, plan.site
             ),
             None => {
                 let fronts = self.procs.iter().filter(|proc| proc.place.is_none());
--- a/crates/lilacpitch-lab/tests/fleet/main.rs
+++ b/crates/lilacpitch-lab/tests/fleet/main.rs
@@ -1,6 +1,7 @@
 //! The fleet as real processes, with faults between them.
 
 mod broken;
+mod busy;
 mod days;
 mod hard;
 mod parted;
