A process's life is later than the one before, whatever the wall clock says

Cause: a life is named by the wall clock; a process that starts with its clock set back was refused as a former life for ten minutes. Change: the disk keeps the last life, and the next is later. Measured: tests of site and link pass. Open: a front has no disk, and waits those ten minutes.

--- a/crates/lilacpitch-link/tests/links.rs
+++ b/crates/lilacpitch-link/tests/links.rs
@@ -1,5 +1,7 @@
 //! Two ends of a link over loopback: questions both ways, a stranger's key, rubbish, doubled bytes, silence.
 
+use lilacpitch_fleet::error::FrameError;
+use lilacpitch_fleet::frame::Writer;
 use lilacpitch_fleet::message::*;
 use lilacpitch_link::*;
 use lilacpitch_peers::Keys;
@@ -65,6 +67,30 @@
     assert!(matches!(late, Err(LinkError::Late)));
 }
 
+/// Two builds side by side: the other's first frame is opened, and its version refused by name.
+#[tokio::test]
+async fn another_version_is_refused_by_name_and_others_go_on() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (name, role) = ("later".to_string(), Role::Front);
+    let hello = Hello { version: VERSION + 1, name, life: 1, role, nonce: 7 };
+    let mut writer = Writer::new(Keys::from_bytes([1; 32]));
+    let frame = writer.frame(&Body::Hello(hello), [3; 24]).unwrap();
+    let later = async {
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        stream.write_u32(frame.len() as u32).await.unwrap();
+        stream.write_all(&frame).await.unwrap();
+        // Until the other end has ended it.
+        drop(stream.read_to_end(&mut Vec::new()).await);
+    };
+    let there = me("b", 2, 1);
+    let accepted = async { accept(listener.accept().await.unwrap().0, &there, Arc::new(Echo), SOON).await };
+    let ((), refused) = tokio::join!(later, accepted);
+    let version = matches!(&refused, Err(LinkError::Frame(FrameError::Version(v))) if *v == VERSION + 1);
+    assert!(version, "{:?}", refused.err());
+    assert!(pair(1).await.0.unwrap().ask(Request::ReadIndex, SOON).await.is_ok(), "others go on");
+}
+
 #[tokio::test]
 async fn doubled_and_damaged_frames_end_their_connection_alone() {
     // Between the two a relay that passes one way as it is, and says the other way's second frame twice.
--- a/crates/lilacpitch-site/src/log/store.rs
+++ b/crates/lilacpitch-site/src/log/store.rs
@@ -88,6 +88,15 @@
         self.write("joined", &true)
     }
 
+    /// The life that begins now: later than all before it, also where the wall clock was set back meanwhile.
+    pub fn begin_life(&self, wall_ns: u64) -> Result<u64, LogError> {
+        let disk = |e: String| LogError::Disk(format!("{}: {e}", self.folder.display()));
+        let before: u64 = self.read("life").map_err(disk)?.unwrap_or(0);
+        let life = wall_ns.max(before + 1);
+        self.write("life", &life).map_err(|e| disk(e.to_string()))?;
+        Ok(life)
+    }
+
     fn snapshot_path(&self) -> PathBuf {
         self.folder.join(SNAPSHOT)
     }
@@ -220,3 +229,18 @@
         self.drop_entries((Bound::Unbounded, Bound::Included(upto.index)))
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_life_is_later_than_the_one_before_whatever_the_clock_says() {
+        let folder = tempfile::tempdir().unwrap();
+        let lives = [1_000, 500, 2_000].map(|wall_ns| {
+            // Each opens the folder anew, as a start does.
+            Store::open(folder.path(), "root/0/root-0").unwrap().begin_life(wall_ns).unwrap()
+        });
+        assert_eq!(lives, [1_000, 1_001, 2_000]);
+    }
+}
--- a/crates/lilacpitch-site/src/process.rs
+++ b/crates/lilacpitch-site/src/process.rs
@@ -185,12 +185,12 @@
     let text = std::fs::read_to_string(&settings.key_file)
         .map_err(|e| RunError::Keys(format!("{}: {e}", settings.key_file)))?;
     let keys = Keys::from_text(&text).map_err(|e| RunError::Keys(format!("{}: {e}", settings.key_file)))?;
-    let life = SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |since| since.as_nanos() as u64);
     let role = Role::Process(settings.site.clone(), settings.place as u32);
-    let me = Me { name: settings.name.clone(), life, role, keys };
-
     let owner = format!("{}/{}/{}", settings.site, settings.place, settings.name);
     let store = Store::open(Path::new(&settings.data), &owner)?;
+    let wall_ns = SystemTime::now().duration_since(UNIX_EPOCH).map_or(1, |since| since.as_nanos() as u64);
+    let life = store.begin_life(wall_ns)?;
+    let me = Me { name: settings.name.clone(), life, role, keys };
     let state = Arc::new(State::new(settings.shards)?);
     let damaged = |what| LogError::Damaged { path: settings.data.clone(), what };
     let joined = AtomicBool::new(store.joined().map_err(damaged)?);
