The audit of a rollout agrees with what callers saw

Cause: promise 7 was checked against what fronts say of themselves only. Change: a front starts anew on settings with one class more; a caller's call of that class fails before and stands after, and the audit names the former and the new settings for those moments.

--- a/crates/lilacpitch-edge/src/fleet/mod.rs
+++ b/crates/lilacpitch-edge/src/fleet/mod.rs
@@ -35,7 +35,8 @@
 
 /// Messages of the front that may wait for the agent.
 const QUEUE: usize = 4_096;
-/// Rows of calls that begin and end wait so long for others, and are said together: no locate of a number rests on them.
+/// Rows of calls that begin and end wait so long for others, and are said together: no locate of a number rests on
+/// them.
 const GATHER: Duration = Duration::from_millis(20);
 /// And no more of them than this.
 const GATHERED: usize = 256;
@@ -149,7 +150,8 @@
         self.say.try_send(what).is_ok()
     }
 
-    /// Says a row: with the next [`Handle::say_due`], or soon where it is of a call. If the agent does not keep up, all rows are wanted again later.
+    /// Says a row: with the next [`Handle::say_due`], or soon where it is of a call. If the agent does not keep up, all
+    /// rows are wanted again later.
     pub fn row(&mut self, row: RowNews) {
         let gather = if row.kind == Kind::Reached { Duration::ZERO } else { GATHER };
         let until = Instant::now() + gather;
--- a/crates/lilacpitch-lab/tests/fleet/hard.rs
+++ b/crates/lilacpitch-lab/tests/fleet/hard.rs
@@ -285,3 +285,45 @@
     let distinct: std::collections::BTreeSet<&String> = rows.iter().collect();
     assert_eq!((rows.len(), distinct.len()), (20, 20));
 }
+
+/// Promise 7 beside what callers saw: a front carries calls of a class once it runs on settings that have it. The audit
+/// names those for that moment, and the former ones for the moment before.
+#[test]
+fn the_audit_of_a_rollout_agrees_with_what_callers_saw() {
+    let mut town = town(plan(1));
+    let front = town.index("edge-1");
+    let settings = |t: &Town| field(&t.get(front, "/fleet"), "settings ").map(String::from).unwrap();
+    // When it was asked for, when it was answered, and whether it stood.
+    let gold = |t: &Town| {
+        let began_ms = wall_ms();
+        let mut caller = Caller::connect(t.callers(front), None).unwrap();
+        let stands = matches!(caller.call("gold", "1777", Duration::from_secs(1)), Ok((_, Answer::Stands)));
+        (began_ms, wall_ms(), stands)
+    };
+    let (before, of_before) = (gold(&town), settings(&town));
+    assert!(!before.2, "a class that it does not have");
+    // It has said once more that it lives.
+    std::thread::sleep(Duration::from_millis(1_000));
+    let file = town.dir.path().join("edge-1.cue");
+    let text = std::fs::read_to_string(&file).unwrap();
+    let with = "classes: [{name: \"gold\", aim: \"1s\", give_up: \"5s\", worth: 2}, ";
+    std::fs::write(&file, text.replacen("classes: [", with, 1)).unwrap();
+    assert!(town.stop(front));
+    town.start_process(front).unwrap();
+    assert!(town.settled(SOON), "{}", report(&town));
+    let mut after = gold(&town);
+    assert!(town.wait(SOON, |t| {
+        after = if after.2 { after } else { gold(t) };
+        after.2
+    }));
+    let of_after = settings(&town);
+    assert_ne!(of_before, of_after);
+    let told = |t: &Town| audited(t, "edge-1", after.1).is_some();
+    assert!(town.wait(SOON, told), "{}", town.get(town.index("root-0"), "/audit"));
+    for ((began_ms, ended_ms, _), settings) in [(before, of_before), (after, of_after)] {
+        for at_ms in [began_ms, ended_ms] {
+            let line = audited(&town, "edge-1", at_ms).unwrap_or_default();
+            assert_eq!(word(&line, "settings"), settings, "at {at_ms}: {line}");
+        }
+    }
+}
--- a/crates/lilacpitch-site/src/log/mod.rs
+++ b/crates/lilacpitch-site/src/log/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! **What is durable when.** An entry is answered once it is committed: on the disks of most of the site's processes,
 //! synced, before the one that wrote it hears of it. So are votes. What was applied and not yet put into a snapshot is
-//! applied again after a start. A snapshot is a file, checked by a hash, that takes its place by renaming. With a new disk
-//! a process votes for nobody, and leads nobody, before it has all that was acknowledged: `join`.
+//! applied again after a start. A snapshot is a file, checked by a hash, that takes its place by renaming. With a new
+//! disk a process votes for nobody, and leads nobody, before it has all that was acknowledged: `join`.
 
 pub(crate) mod join;
 pub mod machine;
