One piece orders and one reads progress in the fleet's tests; a figure says what was looked at

Cause, on reading the change once more: reading progress and ordering until somebody leads stood in two test files each; the page said that locates were complete all the while where only the first one was looked at. Change: scene::progress and one 'ordered' serve both; the sentence.

--- a/crates/lilacpitch-lab/tests/fleet/hard.rs
+++ b/crates/lilacpitch-lab/tests/fleet/hard.rs
@@ -1,9 +1,10 @@
 //! Hard cases that a drawn day seldom brings: disks, withdrawn settings, the audit beside what was seen, calls with
 //! every site down, purges of everything, many rows.
 
-use crate::{report, town, SOON};
+use crate::{ordered, report, town, SOON};
 use lilacpitch_lab::fleet::caller::Caller;
 use lilacpitch_lab::fleet::day::TERMS;
+use lilacpitch_lab::fleet::scene;
 use lilacpitch_lab::fleet::town::{Plan, Town, TownError};
 use lilacpitch_lab::fleet::wire::Fault;
 use lilacpitch_protocol::message::call::{Answer, ToCaller};
@@ -22,17 +23,9 @@
     page.lines().find_map(|line| line.strip_prefix(name))
 }
 
-/// Orders something, again where no process leads yet.
-fn ordered(town: &Town, at: usize, target: &str) {
-    let done = |t: &Town| matches!(t.page(at, "POST", target), Ok((200, _)));
-    assert!(town.wait(SOON, done), "{target}: {}", report(town));
-}
-
 /// Order and completion as the root's process says.
 fn progress(town: &Town, at: usize) -> Option<(u64, u64)> {
-    let page = town.get(at, "/purges");
-    let ordered = field(&page, "ordered ")?.split_once('/')?.1.parse().ok()?;
-    Some((ordered, field(&page, "complete ")?.parse().ok()?))
+    scene::progress(town.pages(at), at).map(|read| (read.ordered, read.complete))
 }
 
 /// A front's line in the audit of a moment.
--- a/crates/lilacpitch-lab/tests/fleet/main.rs
+++ b/crates/lilacpitch-lab/tests/fleet/main.rs
@@ -20,6 +20,17 @@
     town
 }
 
+/// Orders something at a process, again while nobody leads; the order's number.
+pub fn ordered(town: &Town, at: usize, target: &str) -> u64 {
+    let mut order = None;
+    town.wait(SOON, |t| {
+        let said = t.page(at, "POST", target).ok().filter(|said| said.0 == 200);
+        order = said.and_then(|(_, said)| said.trim().rsplit_once('/')?.1.parse().ok());
+        order.is_some()
+    });
+    order.unwrap_or_else(|| panic!("{target}: {}", report(town)))
+}
+
 /// What all processes say of themselves, for a failure's message.
 pub fn report(town: &Town) -> String {
     let mut out = String::new();
--- a/crates/lilacpitch-lab/tests/fleet/parted.rs
+++ b/crates/lilacpitch-lab/tests/fleet/parted.rs
@@ -30,14 +30,9 @@
     (ROOT[at], [ROOT[(at + 1) % 3], ROOT[(at + 2) % 3]])
 }
 
-/// An order that is taken, however often it has to be asked for while leaders change.
+/// An order that withdraws nothing anybody has.
 fn ordered(scene: &mut Scene, process: &str) -> u64 {
-    let mut order = None;
-    scene.until(SOON, |scene| {
-        order = scene.purge(process, "1777");
-        order.is_some()
-    });
-    order.expect("an order is taken")
+    crate::ordered(&scene.town, scene.town.index(process), "/purge?number=1777")
 }
 
 /// A leader of the root is cut off with a leaf and its front; the others have another. The front has cached where a
