When rows of calls go, and what presses, is decided in the fleet's core

Cause, on reading the change once more: the wait of 20 ms and what does not wait stood in the edge's shell. Change: gather.rs in lilacpitch-fleet, time as an argument, tested by itself; the driver's one due moment takes it in.

--- a/crates/lilacpitch-edge/src/fleet/mod.rs
+++ b/crates/lilacpitch-edge/src/fleet/mod.rs
@@ -17,11 +17,12 @@
 use lilacpitch_fleet::audit::{Recorder, Version};
 use lilacpitch_fleet::cache::Cache;
 use lilacpitch_fleet::catalogue::Catalogue;
+use lilacpitch_fleet::gather::Gather;
 use lilacpitch_fleet::holder::Holder;
 use lilacpitch_fleet::lease::Terms;
 use lilacpitch_fleet::message::Role;
 use lilacpitch_fleet::upward::Upward;
-use lilacpitch_fleet::Guards;
+use lilacpitch_fleet::{Guards, Nanos};
 use lilacpitch_link::{steady_ns, Dialer, Me, Serve};
 use lilacpitch_peers::Keys;
 use lilacpitch_register::Kind;
@@ -31,15 +32,9 @@
 use std::sync::{Arc, OnceLock, Weak};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::{mpsc, oneshot, watch, Semaphore};
-use tokio::time::Instant;
 
 /// Messages of the front that may wait for the agent.
 const QUEUE: usize = 4_096;
-/// Rows of calls that begin and end wait so long for others, and are said together: no locate of a number rests on
-/// them.
-const GATHER: Duration = Duration::from_millis(20);
-/// And no more of them than this.
-const GATHERED: usize = 256;
 /// How long a connection may take to be made and greeted.
 const CONNECT: Duration = Duration::from_millis(500);
 
@@ -139,9 +134,7 @@
     say: mpsc::Sender<ToAgent>,
     /// Rows were lost for want of room: they are all said again once there is some.
     rows_lost: bool,
-    /// Rows that are to be said together, and when.
-    held: Vec<RowNews>,
-    held_until: Option<Instant>,
+    held: Gather<RowNews>,
 }
 
 impl Handle {
@@ -152,32 +145,25 @@
 
     /// Says a row: with the next [`Handle::say_due`], or soon where it is of a call. If the agent does not keep up, all
     /// rows are wanted again later.
-    pub fn row(&mut self, row: RowNews) {
-        let gather = if row.kind == Kind::Reached { Duration::ZERO } else { GATHER };
-        let until = Instant::now() + gather;
-        self.held.push(row);
-        self.held_until = Some(self.held_until.map_or(until, |held| held.min(until)));
-        if self.held.len() >= GATHERED {
-            self.say_held();
-        }
+    pub fn row(&mut self, now: Nanos, row: RowNews) {
+        let presses = row.kind == Kind::Reached;
+        let full = self.held.push(now, row, presses);
+        self.changed(full);
     }
 
     /// When rows are due to be said.
-    pub fn due(&self) -> Option<Instant> {
-        self.held_until
+    pub fn due_ns(&self) -> Option<Nanos> {
+        self.held.due_ns()
     }
 
     /// Says the rows that are due.
-    pub fn say_due(&mut self) {
-        if self.held_until.is_some_and(|at| at <= Instant::now()) {
-            self.say_held();
-        }
+    pub fn say_due(&mut self, now: Nanos) {
+        let due = self.held.due(now);
+        self.changed(due);
     }
 
-    fn say_held(&mut self) {
-        self.held_until = None;
-        let rows = std::mem::take(&mut self.held);
-        self.rows_lost |= !self.say(ToAgent::Changed(rows));
+    fn changed(&mut self, rows: Option<Vec<RowNews>>) {
+        self.rows_lost |= rows.is_some_and(|rows| !self.say(ToAgent::Changed(rows)));
     }
 
     /// Whether rows were lost and there is room again: then all are to be said.
@@ -283,7 +269,7 @@
             });
         })
         .map_err(|e| format!("no thread for the fleet: {e}"))?;
-    Ok((Handle { say: to_agent, rows_lost: false, held: Vec::new(), held_until: None }, hear))
+    Ok((Handle { say: to_agent, rows_lost: false, held: Gather::default() }, hear))
 }
 
 /// Takes what the front says, until it is gone.
--- a/crates/lilacpitch-edge/src/net/driver.rs
+++ b/crates/lilacpitch-edge/src/net/driver.rs
@@ -139,9 +139,9 @@
     let (mut stopping, mut round) = (false, Vec::new());
     while !driver.stopped {
         let talk_due = driver.talk.as_ref().and_then(|talk| talk.peers.next_timeout());
-        let due = driver.front.next_timeout().into_iter().chain(talk_due).min();
-        let rows_due = driver.agent.as_ref().and_then(fleet::Handle::due);
-        let due = due.map(|at| driver.clock.instant(at)).into_iter().chain(rows_due).min();
+        let rows_due = driver.agent.as_ref().and_then(fleet::Handle::due_ns);
+        let due = driver.front.next_timeout().into_iter().chain(talk_due).chain(rows_due).min();
+        let due = due.map(|at| driver.clock.instant(at));
         tokio::select! {
             count = inbox.recv_many(&mut round, ROUND) => {
                 debug_assert!(count > 0, "the driver holds a sender itself");
@@ -248,7 +248,9 @@
             self.carry_out(effect);
         }
         self.effects = effects;
-        self.agent.iter_mut().for_each(fleet::Handle::say_due);
+        if let Some(agent) = &mut self.agent {
+            agent.say_due(self.clock.now());
+        }
     }
 
     /// Lets the talk among fronts act, and does what it wants; without peers nothing happens.
@@ -329,7 +331,7 @@
             }
             Effect::Row(row) => {
                 let Some(agent) = &mut self.agent else { return };
-                agent.row(row);
+                agent.row(self.clock.now(), row);
                 if agent.rows_are_due() {
                     self.tell_later(Input::RowsWanted);
                 }
--- a/crates/lilacpitch-fleet/src/lib.rs
+++ b/crates/lilacpitch-fleet/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`lease`] and [`holder`]: until when what is cached may be used, and up to which purge it is true.
 //! - [`upward`]: which process above is followed.
 //! - [`relay`]: a process with others below it: grants leases, passes orders on, counts acknowledgements.
+//! - [`gather`]: which row changes of a front go at once and which together.
 //! - [`rejoin`]: when a process with a new disk takes part in its site's log.
 //! - [`room`]: how many questions a process works on at once, calls before searches.
 //! - [`window`]: the orders kept for who missed some.
@@ -25,6 +26,7 @@
 pub mod catalogue;
 pub mod error;
 pub mod frame;
+pub mod gather;
 pub mod holder;
 pub mod lease;
 pub mod locate;
