--- a/crates/lilacpitch-edge/tests/node/coordinator.rs
+++ b/crates/lilacpitch-edge/tests/node/coordinator.rs
@@ -20,7 +20,7 @@
     last
 }
 
-fn drains(mood: Mood, at_most: Duration) {
+pub fn drains(mood: Mood, at_most: Duration) {
     let (first, second) = (Server::start(), Server::start());
     let node = Node::start(&[&first, &second]);
     node.coordinator.mood(mood);
--- a/crates/lilacpitch-edge/tests/node/main.rs
+++ b/crates/lilacpitch-edge/tests/node/main.rs
@@ -3,10 +3,17 @@
 
 mod callers;
 mod coordinator;
+mod departures;
+mod evictions;
+mod exits;
 mod ids;
 mod limits;
 mod process;
+mod repeats;
 mod servers;
 mod signals;
 mod standin;
 mod standing;
+mod terms;
+mod unlike;
+mod watch;
--- a/crates/lilacpitch-edge/tests/node/process.rs
+++ b/crates/lilacpitch-edge/tests/node/process.rs
@@ -1,6 +1,7 @@
 //! The node's process.
 
 use crate::standin::{config_text, id, ms, Caller, Coordinator, Server, SOON};
+use nix::sys::signal::Signal;
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command};
@@ -77,12 +78,40 @@
         Node::logging(coordinator, sockets, "warn")
     }
 
+    /// A node whose configuration is not the usual one.
+    pub fn configured(coordinator: Coordinator, sockets: u32, change: impl Fn(String) -> String) -> Node {
+        Node::changed(coordinator, sockets, "warn", change)
+    }
+
+    /// The process stands still while `what` happens.
+    pub fn stalled<T>(&self, what: impl FnOnce() -> T) -> T {
+        self.signal(Signal::SIGSTOP);
+        let stat = format!("/proc/{}/stat", self.child.id());
+        let until = Instant::now() + SOON;
+        while !std::fs::read_to_string(&stat).unwrap().contains(") T ") {
+            assert!(Instant::now() < until, "the process does not stand still");
+            std::thread::sleep(ms(1));
+        }
+        let done = what();
+        self.signal(Signal::SIGCONT);
+        done
+    }
+
     fn logging(coordinator: Coordinator, sockets: u32, level: &str) -> Node {
+        Node::changed(coordinator, sockets, level, |text| text)
+    }
+
+    fn changed(
+        coordinator: Coordinator,
+        sockets: u32,
+        level: &str,
+        change: impl Fn(String) -> String,
+    ) -> Node {
         let folder = tempfile::tempdir().unwrap();
         let config = folder.path().join("config.json");
         let address = lilacpitch_net::free_addresses(1).unwrap()[0];
-        std::fs::write(&config, config_text(address, coordinator.address, &coordinator.known(), sockets))
-            .unwrap();
+        let text = config_text(address, coordinator.address, &coordinator.known(), sockets);
+        std::fs::write(&config, change(text)).unwrap();
         let child = Command::new(env!("CARGO_BIN_EXE_lilacpitch-edge"))
             .arg("node")
             .env("BALANCER_CONFIG", &config)
--- a/crates/lilacpitch-edge/tests/node/standin.rs
+++ b/crates/lilacpitch-edge/tests/node/standin.rs
@@ -211,6 +211,18 @@
     BreaksOff,
     /// Takes each ask and says nothing.
     Silent,
+    /// Says so much of each answer, in bytes, and nothing more.
+    StopsAt(usize),
+    /// Says each answer in chunks, and stops in the second.
+    StopsInChunk,
+    /// Says each answer a byte at a time, slower than anybody waits.
+    Trickles,
+    /// Answers each ask at once, without events.
+    Empty,
+    /// Leaves out the next event, where it is not asked for all.
+    Jumps,
+    /// Says that its numbers are lower than what was told, where it is not asked for all.
+    GoesBack,
 }
 
 struct Events {
@@ -226,12 +238,16 @@
 
 impl Coordinator {
     pub fn start(events: Vec<Value>) -> Coordinator {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        Coordinator::on(TcpListener::bind("127.0.0.1:0").unwrap(), events)
+    }
+
+    pub fn on(listener: TcpListener, events: Vec<Value>) -> Coordinator {
         let address = listener.local_addr().unwrap();
         let state = Arc::new((Mutex::new(Events { all: events, mood: Mood::Well, asks: 0 }), Condvar::new()));
         let shared = state.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                stream.set_nodelay(true).unwrap();
                 let shared = shared.clone();
                 std::thread::spawn(move || tell(stream, &shared));
             }
@@ -291,13 +307,51 @@
             std::thread::sleep(SOON);
             return;
         }
-        let news = |events: &mut Events| events.all.len() as u64 <= after;
+        let wait = if events.mood == Mood::Empty { Duration::ZERO } else { wait };
+        let news = |events: &mut Events| events.all.len() as u64 <= after && events.mood != Mood::Empty;
         let (events, _) = shared.1.wait_timeout_while(events, wait, news).unwrap();
-        let updates: Vec<_> = events.all.iter().filter(|e| e["index"].as_u64() > Some(after)).collect();
-        let body = json!({"index": events.all.len(), "updates": updates}).to_string();
+        let mood = events.mood;
+        let hidden = match mood {
+            Mood::Empty => u64::MAX,
+            Mood::Jumps if after > 0 => after + 1,
+            Mood::GoesBack if after > 0 => u64::MAX,
+            _ => after,
+        };
+        let updates: Vec<_> = events.all.iter().filter(|e| e["index"].as_u64() > Some(hidden)).collect();
+        let index = match mood {
+            Mood::Empty => after as usize,
+            Mood::GoesBack if after > 0 => 0,
+            _ => events.all.len(),
+        };
+        let body = json!({"index": index, "updates": updates}).to_string();
         let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
-        let breaks = events.mood == Mood::BreaksOff;
+        let breaks = mood == Mood::BreaksOff;
         drop(events);
+        let stopping = match mood {
+            Mood::StopsAt(bytes) => Some(format!("{head}{body}")[..bytes].to_string()),
+            Mood::StopsInChunk => {
+                let (first, second) = body.split_at(body.len() / 2);
+                let half = &second[..second.len() / 2];
+                let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+                Some(format!("{head}{:x}\r\n{first}\r\n{:x}\r\n{half}", first.len(), second.len()))
+            }
+            _ => None,
+        };
+        if let Some(part) = stopping {
+            // Until its connection is closed.
+            let _ = stream.write_all(part.as_bytes());
+            let _ = lines.read_to_end(&mut Vec::new());
+            return;
+        }
+        if mood == Mood::Trickles {
+            for byte in format!("{head}{body}").bytes() {
+                if stream.write_all(&[byte]).is_err() {
+                    return;
+                }
+                std::thread::sleep(ms(40));
+            }
+            continue;
+        }
         let body = if breaks { &body[..body.len() / 2] } else { &body[..] };
         if stream.write_all(head.as_bytes()).and_then(|()| stream.write_all(body.as_bytes())).is_err()
             || breaks
@@ -350,6 +404,8 @@
 impl Caller {
     pub fn connect(address: SocketAddr) -> Caller {
         let stream = TcpStream::connect(address).unwrap();
+        // What is written is there, and does not wait for what was written before to be seen.
+        stream.set_nodelay(true).unwrap();
         let (say, heard) = channel();
         let reader = stream.try_clone().unwrap();
         std::thread::spawn(move || read_sip(reader, &say));
@@ -381,6 +437,11 @@
         self.heard.recv_timeout(span).ok().flatten()
     }
 
+    /// Whether its connection has ended, and nothing was said before.
+    pub fn has_ended(&self) -> bool {
+        matches!(self.heard.recv_timeout(ms(5)), Ok(None))
+    }
+
     /// Waits for the connection's end; how long that took.
     pub fn end(&self) -> Duration {
         let from = Instant::now();
--- /dev/null
+++ b/crates/lilacpitch-edge/tests/node/terms.rs
@@ -0,0 +1,99 @@
+//! Terms of service at the edge of the limits: idle callers at every descriptor, and a start with a flood at the door.
+
+use crate::process::Node;
+use crate::standin::*;
+use std::io::Write;
+use std::net::{TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Instant;
+
+#[test]
+fn with_idle_callers_at_every_descriptor_the_coordinator_is_reached_again_and_calls_are_served() {
+    let (first, second) = (Server::start(), Server::start());
+    let listed = Coordinator::listing(&[&first, &second]);
+    let known = listed.known();
+    let events = known["updates"].as_array().unwrap().clone();
+    // Nobody listens where the coordinator is; the list is known from the start.
+    let at = lilacpitch_net::free_addresses(1).unwrap()[0];
+    let change = |text: String| text.replace(&listed.address.to_string(), &at.to_string());
+    let node = Node::configured(Coordinator::start(events.clone()), 96, |text| {
+        let mut config: serde_json::Value = serde_json::from_str(&change(text)).unwrap();
+        config["coordinator"] = serde_json::json!(at.to_string());
+        config.to_string()
+    });
+    node.wait_ready();
+    // Some have asked once and stay, the others say nothing.
+    let mut usual = node.caller();
+    first.stands(&mut usual, 999);
+    let mut idle = Vec::new();
+    for n in 0..120u64 {
+        let mut caller = node.caller();
+        if n % 2 == 0 {
+            caller.request("OPTIONS", &id(n));
+        }
+        idle.push(caller);
+    }
+    // Its idle connection may have been closed for others: it asks on a new one, as the protocol has it.
+    let mut usual = node.caller();
+    first.stands(&mut usual, 1_000);
+    assert!(node.descriptors() <= 96, "{}", node.descriptors());
+    // It is back, and tells that the first server drains.
+    let back = Coordinator::on(TcpListener::bind(at).unwrap(), events);
+    back.tell(vec![target("s0", first.address, 0, "terminating", 0)]);
+    let until = Instant::now() + SOON;
+    while back.asks() < 2 {
+        assert!(Instant::now() < until, "the coordinator is not reached again");
+        std::thread::sleep(ms(10));
+    }
+    std::thread::sleep(ms(300));
+    let mut late = node.caller();
+    late.invite(&id(2_000), 0, 3_000);
+    second.answer(&second.next("launch"), "by its word");
+    assert_eq!(late.next().unwrap().body, "by its word");
+    assert!(node.descriptors() <= 96, "{}", node.descriptors());
+}
+
+#[test]
+fn a_process_that_starts_with_calls_to_adopt_and_a_flood_at_its_door_is_ready_soon() {
+    let server = Server::start();
+    let coordinator = Coordinator::listing(&[&server]);
+    let stop = Arc::new(AtomicBool::new(false));
+    let from = Instant::now();
+    let node = Node::spawn(coordinator, 256);
+    let floods: Vec<_> = (0..30u64)
+        .map(|flood| {
+            let (stop, address) = (stop.clone(), node.address);
+            std::thread::spawn(move || {
+                let mut call = (flood + 1) << 32;
+                while !stop.load(Ordering::Relaxed) {
+                    let Ok(mut stream) = TcpStream::connect(address) else {
+                        std::thread::sleep(ms(1));
+                        continue;
+                    };
+                    for _ in 0..40 {
+                        call += 1;
+                        // Calls that stand already, and mischief.
+                        let path = if call.is_multiple_of(2) { "at:s0" } else { "dest:soon" };
+                        if stream.write_all(&invite(&id(call), path, 3_000, BODY)).is_err() {
+                            break;
+                        }
+                    }
+                    std::thread::sleep(ms(5));
+                }
+            })
+        })
+        .collect();
+    node.wait_ready();
+    let took = from.elapsed();
+    let mut caller = node.caller();
+    caller.invite(&id(1), 0, 8_000);
+    let launch = server.next("launch");
+    server.answer(&launch, "there");
+    let said = caller.next().unwrap();
+    stop.store(true, Ordering::Relaxed);
+    floods.into_iter().for_each(|flood| flood.join().unwrap());
+    assert_eq!(said.body, "there");
+    assert!(took < ms(5_000), "ready after {took:?}");
+    assert!(node.memory_mb() < 48, "{} MB", node.memory_mb());
+}
--- a/crates/lilacpitch-node/src/config.rs
+++ b/crates/lilacpitch-node/src/config.rs
@@ -26,6 +26,57 @@
 pub struct Limits {
     /// Descriptors that the process may hold.
     pub sockets: usize,
+    /// Memory that the process may hold, in MB.
+    #[serde(default)]
+    pub memory_mb: Option<u64>,
+}
+
+/// How many connections of each kind a node may hold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Budget {
+    /// Of callers.
+    pub callers: usize,
+    /// Of callers and servers, that are over and wait for the other end to read what was said last.
+    pub draining: usize,
+    /// To servers, beyond one each.
+    pub links: usize,
+}
+
+/// Descriptors that are neither callers' nor servers': the runtime's own, the listener, the coordinator, spare.
+const OTHER_SOCKETS: usize = 32;
+/// One in so many descriptors is for servers.
+const SERVERS_PART: usize = 8;
+/// One in so many of the others is for connections that are over.
+const DRAINING_PART: usize = 8;
+/// A node of fewer descriptors could not serve beside what it keeps back.
+const LEAST_SOCKETS: usize = 2 * OTHER_SOCKETS;
+/// What a node holds with nobody there, and more.
+const LEAST_MEMORY_MB: u64 = 8;
+/// What callers' connections may hold, by halves of the memory: a message that is not whole, and answers unread.
+const CALLER_KB: u64 = 32;
+
+impl Limits {
+    /// The descriptors by who is to have them: what one takes must not starve another.
+    pub fn budget(&self) -> Budget {
+        let links = self.sockets / SERVERS_PART;
+        let rest = self.sockets.saturating_sub(links).saturating_sub(OTHER_SOCKETS);
+        let draining = rest / DRAINING_PART;
+        let by_memory = self.memory_mb.map_or(u64::MAX, |mb| mb.saturating_mul(1024) / 2 / CALLER_KB);
+        let callers = (rest - draining).min(usize::try_from(by_memory).unwrap_or(usize::MAX));
+        Budget { callers, draining, links }
+    }
+
+    fn check(&self) -> Result<(), (&'static str, String)> {
+        if self.sockets < LEAST_SOCKETS {
+            return Err(("limits.sockets", format!("a node needs {LEAST_SOCKETS} at least")));
+        }
+        match self.memory_mb {
+            Some(mb) if mb < LEAST_MEMORY_MB => {
+                Err(("limits.memory_mb", format!("a node needs {LEAST_MEMORY_MB} at least")))
+            }
+            _ => Ok(()),
+        }
+    }
 }
 
 #[derive(Deserialize)]
@@ -73,9 +124,7 @@
             Site::from_value(&file.settings).map_err(|e| wrong(&format!("settings.{}", e.field), e.what))?;
         let known = coordinator::told(&file.known.to_string()).map_err(|e| wrong("known", e))?;
         let seed = u64::from_str_radix(&file.seed, 16).map_err(|e| wrong("seed", e.to_string()))?;
-        if file.limits.sockets < 64 {
-            return Err(wrong("limits.sockets", "a node needs 64 at least".into()));
-        }
+        file.limits.check().map_err(|(field, what)| wrong(field, what))?;
         Ok(Config {
             name: file.name,
             listen: file.listen,
--- a/crates/lilacpitch-node/src/core/callers.rs
+++ b/crates/lilacpitch-node/src/core/callers.rs
@@ -22,11 +22,15 @@
     pub last_ns: Nanos,
     /// It has sent a set-up that was taken.
     pub proven: bool,
+    /// Its connection is to end unless something comes on it.
+    pub evicted: bool,
+    /// It has closed its end: what it still asks for is asked by nobody.
+    pub gone: bool,
 }
 
 impl Caller {
     pub fn new(now: Nanos) -> Self {
-        Caller { open: BTreeSet::new(), last_ns: now, proven: false }
+        Caller { open: BTreeSet::new(), last_ns: now, proven: false, evicted: false, gone: false }
     }
 }
 
@@ -36,7 +40,7 @@
 impl Node {
     pub(super) fn on_caller_message(&mut self, id: CallerId, message: Message, effects: &mut Vec<Effect>) {
         let Some(caller) = self.callers.get_mut(&id) else { return };
-        caller.last_ns = self.now;
+        (caller.last_ns, caller.evicted) = (self.now, false);
         // Answers to releases mean nothing.
         let Message::Request(request) = message else { return };
         let done = match request.method.as_str() {
@@ -81,7 +85,13 @@
         if body.is_empty() {
             return Err((400, "No Description"));
         }
-        if self.by_wire.contains_key(&wire) {
+        if self.callers.get(&caller).is_some_and(|caller| caller.gone) {
+            self.counters.gone += 1;
+            return Ok(());
+        }
+        // Also while ends of its last use may be on their way: they name the id alone.
+        if self.by_wire.contains_key(&wire) || self.resting.get(&wire).is_some_and(|until| self.now < *until)
+        {
             return Err((482, "Call-ID In Use"));
         }
         if !self.listed || self.leaving {
@@ -138,24 +148,39 @@
         Ok(())
     }
 
+    pub(super) fn on_caller_left(&mut self, id: CallerId, effects: &mut Vec<Effect>) {
+        let Some(caller) = self.callers.get_mut(&id) else { return };
+        caller.gone = true;
+        let open = std::mem::take(&mut caller.open);
+        // Those that are out go last: the room that they leave must not be given to one whose caller is the same.
+        let out = |call: &CallId| self.calls.get(call).is_some_and(|call| call.attempt.is_some());
+        let (out, held): (Vec<_>, Vec<_>) = open.into_iter().partition(out);
+        held.into_iter().chain(out).for_each(|call| self.caller_gives_up(call, effects));
+    }
+
     pub(super) fn on_caller_closed(&mut self, id: CallerId, effects: &mut Vec<Effect>) {
-        let Some(caller) = self.callers.remove(&id) else { return };
-        caller.open.into_iter().for_each(|call| self.caller_gives_up(call, effects));
+        self.on_caller_left(id, effects);
+        self.callers.remove(&id);
     }
 
-    /// Closes a connection without an open set-up: one that never asked, unless it has only just come, else the
+    /// Ends a connection without an open set-up: one that never asked, unless it has only just come, else the
     /// one that is idle for longest; never the newest, which is yet to ask.
-    pub(super) fn make_room(&mut self, effects: &mut Vec<Effect>) {
+    pub(super) fn evict(&mut self, effects: &mut Vec<Effect>) {
         let now = self.now;
         let newest = self.callers.last_key_value().map(|(id, _)| *id);
-        let idle = self.callers.iter().filter(|(id, c)| c.open.is_empty() && Some(**id) != newest);
+        let idle = |id: CallerId, c: &Caller| c.open.is_empty() && !c.evicted && Some(id) != newest;
+        let idle = self.callers.iter_mut().filter(|(id, caller)| idle(**id, caller));
         let mute = |caller: &Caller| !caller.proven && now - caller.last_ns > FIRST_WORD_NS;
-        let first = idle.min_by_key(|(_, caller)| (!mute(caller), caller.last_ns)).map(|(id, _)| *id);
-        if let Some(id) = first {
-            self.callers.remove(&id);
-            effects.push(Effect::CloseCaller(id));
+        if let Some((id, caller)) = idle.min_by_key(|(_, caller)| (!mute(caller), caller.last_ns)) {
+            caller.evicted = true;
+            effects.push(Effect::EvictCaller(*id));
         }
     }
+
+    pub(super) fn on_not_evicted(&mut self, id: CallerId) {
+        let now = self.now;
+        self.callers.entry(id).and_modify(|caller| (caller.evicted, caller.last_ns) = (false, now));
+    }
 }
 
 /// What a set-up says of its way.
--- a/crates/lilacpitch-node/src/core/calls.rs
+++ b/crates/lilacpitch-node/src/core/calls.rs
@@ -117,7 +117,12 @@
         effects: &mut Vec<Effect>,
     ) {
         let until_ns = self.now + timeout_ns;
-        let Some(call) = self.calls.get_mut(&id) else { return };
+        self.counters.sends += 1;
+        let Some(call) = self.calls.get_mut(&id) else {
+            // Its caller has gone, and the module is yet to hear of it.
+            self.settled(id, 0, server, Outcome::NotSent, true, Report::default());
+            return;
+        };
         let hop = call.hops;
         call.hops += 1;
         let used = call.used.clone();
@@ -174,10 +179,14 @@
     pub(super) fn withdraw(&mut self, id: CallId, effects: &mut Vec<Effect>) {
         let Some(call) = self.calls.get(&id) else { return };
         let (wire, attempt) = (call.wire, call.attempt);
-        if let Some(AttemptState::Out(link, _)) = attempt.map(|attempt| attempt.state) {
+        if let Some(AttemptState::Out(link, message)) = attempt.map(|attempt| attempt.state) {
             let until = self.now + super::links::REMEMBER_NS;
-            self.links.entry(link).and_modify(|l| _ = l.given_up.insert(wire, until));
-            self.transmit(link, signal::stop(wire, signal::CAUSE_NORMAL), None, effects);
+            let Some(row) = self.links.get_mut(&link) else { return };
+            row.given_up.insert(wire, until);
+            let stop = row.next_message;
+            row.next_message += 1;
+            let bytes = signal::stop(wire, signal::CAUSE_NORMAL);
+            effects.push(Effect::Withdraw { link, message, stop, bytes });
         }
     }
 
@@ -210,6 +219,9 @@
         self.by_wire.remove(&call.wire);
         self.callers.entry(call.caller).and_modify(|caller| _ = caller.open.remove(&id));
         self.timers.clear(Timer::TimeOut(id));
+        if call.hops > 0 {
+            self.resting.insert(call.wire, self.now + self.site.settings.release_ns);
+        }
         Some(call)
     }
 
@@ -249,15 +261,30 @@
 
     /// Final answer: turned away.
     pub(super) fn refuse(&mut self, id: CallId, come_back_ns: Option<Nanos>, effects: &mut Vec<Effect>) {
-        self.counters.refused += 1;
         let wait_ms = come_back_ns.map(|wait| ("P-Gap-Ms", wait.div_ceil(1_000_000).to_string()));
-        self.final_answer(id, 503, "Service Unavailable", wait_ms.as_slice(), effects);
+        if self.final_answer(id, 503, "Service Unavailable", wait_ms.as_slice(), effects) {
+            self.counters.refused += 1;
+        }
     }
 
     /// Final answer: failed.
     pub(super) fn fail(&mut self, id: CallId, effects: &mut Vec<Effect>) {
-        self.counters.failed += 1;
-        self.final_answer(id, 500, "Not Set Up", &[], effects);
+        if self.final_answer(id, 500, "Not Set Up", &[], effects) {
+            self.counters.failed += 1;
+        }
+    }
+
+    /// The kill is near: what is open gets its answer by this node's own word, and the module loses it.
+    pub(super) fn answer_rest(&mut self, effects: &mut Vec<Effect>) {
+        let open: Vec<_> =
+            self.calls.iter().filter(|(_, c)| !c.stands()).map(|(id, c)| (*id, c.hops)).collect();
+        for (id, hops) in open {
+            self.follow.push_back(Event::CallerGone(id));
+            match hops {
+                0 => self.refuse(id, None, effects),
+                _ => self.fail(id, effects),
+            }
+        }
     }
 
     fn final_answer(
@@ -267,14 +294,17 @@
         reason: &str,
         more: &[(&str, String)],
         to: &mut Vec<Effect>,
-    ) {
-        // The module gives up nothing that is out; were it so, the server would have to know.
+    ) -> bool {
+        // The module gives up nothing that is out: this node does, as it leaves.
         self.withdraw(id, to);
-        self.take_attempt(id);
-        let Some(call) = self.take_row(id) else { return };
+        if let Some(attempt) = self.take_attempt(id) {
+            self.settled(id, attempt.hop, attempt.server, Outcome::CalledOff, true, Report::default());
+        }
+        let Some(call) = self.take_row(id) else { return false };
         if let Some(set_up) = call.set_up {
             to.push(Effect::ToCaller(call.caller, Response::bytes(status, reason, &set_up.echo, more, &[])));
         }
+        true
     }
 }
 
--- a/crates/lilacpitch-node/src/core/counters.rs
+++ b/crates/lilacpitch-node/src/core/counters.rs
@@ -19,7 +19,9 @@
     pub adopted: u64,
     /// Callers' messages refused, by status.
     pub bad_messages: BTreeMap<u16, u64>,
-    /// Attempts, by how they ended.
+    /// Attempts that the module asked for; each ends once, by one of the outcomes.
+    pub sends: u64,
+    /// Attempts and adopted calls, by how they ended.
     pub outcomes: BTreeMap<&'static str, u64>,
     /// Servers' messages that belong to nothing here.
     pub strays: u64,
--- a/crates/lilacpitch-node/src/core/links.rs
+++ b/crates/lilacpitch-node/src/core/links.rs
@@ -15,7 +15,7 @@
 /// A server with calls that stand, and nothing heard for so long, is tried by a new connection.
 const QUIET_NS: Nanos = 1_500_000_000;
 /// A server that no connection reaches for so long is not there any more: releases are owed within 8 s.
-const UNREACHED_NS: Nanos = 3_000_000_000;
+pub(super) const UNREACHED_NS: Nanos = 3_000_000_000;
 /// Set-ups given up are remembered for so long, to tell their late answers.
 pub(super) const REMEMBER_NS: Nanos = 30_000_000_000;
 
@@ -28,13 +28,13 @@
     mute: bool,
     /// When it last brought an answer, or an end.
     answered_ns: Nanos,
-    next_message: u64,
+    pub next_message: u64,
     /// Calls whose set-up is queued or out here.
     pub set_ups: BTreeSet<CallId>,
     /// Ids whose set-up here was given up, and until when that is remembered.
     pub given_up: BTreeMap<u64, Nanos>,
-    /// Releases that wait for this connection to be made.
-    pub releases: Vec<Vec<u8>>,
+    /// Releases that wait for this connection to be made, and until when they are worth another.
+    pub releases: Vec<(Nanos, Vec<u8>)>,
 }
 
 /// A server that was listed.
@@ -163,7 +163,7 @@
         let (server, waiting) = (link.server, link.set_ups.clone());
         let releases = std::mem::take(&mut link.releases);
         self.heard(server);
-        releases.into_iter().for_each(|bytes| _ = self.transmit(id, bytes, None, effects));
+        releases.into_iter().for_each(|(_, bytes)| _ = self.transmit(id, bytes, None, effects));
         waiting.into_iter().for_each(|call| self.transmit_set_up(call, effects));
     }
 
@@ -281,6 +281,8 @@
         }
         if link.up {
             self.keep_reachable(link.server, effects);
+        } else if !refused {
+            self.release_again(link.server, link.releases, effects);
         }
     }
 
@@ -299,6 +301,7 @@
         for link in self.links.values_mut() {
             link.given_up.retain(|_, until| now < *until);
         }
+        self.resting.retain(|_, until| now < *until);
         let ids: Vec<ServerId> = self.servers.keys().copied().collect();
         for id in ids {
             let Some(row) = self.servers.get(&id) else { continue };
--- a/crates/lilacpitch-node/src/core/mod.rs
+++ b/crates/lilacpitch-node/src/core/mod.rs
@@ -32,8 +32,13 @@
 /// A connection to a server, by the number the node gives it. Never given twice.
 pub type LinkId = u64;
 
-/// After SIGTERM, callers' connections and set-ups are taken for so long: news of a restart takes time to spread.
+/// After SIGTERM, callers' connections and set-ups are taken for so long: new connections come for 0.4 s, requests
+/// on open ones for 0.2 s more, by the platform's page on its figures.
 const LATE_ARRIVALS_NS: Nanos = 750_000_000;
+/// The kill comes no sooner than the longest deadline, counted as this where it is longer, and this more.
+const KILL_AFTER_NS: (Nanos, Nanos) = (3_000_000_000, 700_000_000);
+/// What is open so long before the kill is answered then.
+const LAST_CALL_NS: Nanos = 250_000_000;
 
 /// What happens to a node.
 #[derive(Debug)]
@@ -42,8 +47,12 @@
     CallerOpened(CallerId),
     /// A caller sent a message.
     CallerMessage(CallerId, Message),
+    /// A caller has closed its connection; what it sent before may still come.
+    CallerLeft(CallerId),
     /// A caller's connection has ended.
     CallerClosed(CallerId),
+    /// A message that a caller's connection did not take before its end.
+    NotTaken(Vec<u8>),
     /// A connection that was asked for is ready.
     LinkUp(LinkId),
     /// A server sent a message.
@@ -67,7 +76,9 @@
     /// The coordinator's news.
     List(Endpoints),
     /// Room for connections is short: the caller whose connection is idle for longest is to go.
-    MakeRoom,
+    Evict,
+    /// A caller that was to go stays: something has come from it, or waits for it.
+    NotEvicted(CallerId),
     /// The operator asks the node to stop.
     Stop,
     /// Time has passed.
@@ -79,8 +90,8 @@
 pub enum Effect {
     /// Send a caller a message.
     ToCaller(CallerId, Vec<u8>),
-    /// End a caller's connection. No `CallerClosed` follows.
-    CloseCaller(CallerId),
+    /// End a caller's connection, unless something has come on it: `CallerClosed` follows, or `NotEvicted`.
+    EvictCaller(CallerId),
     /// Make a connection to a server, and answer with `LinkUp` or `LinkDown`.
     Connect(LinkId, SocketAddr),
     /// Send a server a message: the connection's messages are numbered from 0 in their order.
@@ -94,7 +105,19 @@
         /// Not to be written after this moment; answered by `NotWritten` then.
         not_after_ns: Option<Nanos>,
     },
-    /// End a connection to a server, once what was given to it is written. No `LinkDown` follows.
+    /// Take a message back. Where it has left, `bytes` follow it as message `stop`; where it has begun to, the
+    /// connection ends.
+    Withdraw {
+        /// The connection.
+        link: LinkId,
+        /// The number of the message that is taken back.
+        message: u64,
+        /// The number of what follows it.
+        stop: u64,
+        /// What tells the server.
+        bytes: Vec<u8>,
+    },
+    /// End a connection to a server: what waits there is written, but for set-ups. No `LinkDown` follows.
     Disconnect(LinkId),
     /// Nothing is owed any more.
     Stopped,
@@ -110,6 +133,8 @@
     Look,
     /// Late arrivals have come by now.
     Leave,
+    /// The kill is near: what is still open gets its answer.
+    LastCall,
 }
 
 /// The core of a node. Same settings, seed and inputs give the same effects.
@@ -134,6 +159,8 @@
     next_link: LinkId,
     /// Releases that no connection could take yet, oldest first.
     unsent: VecDeque<Vec<u8>>,
+    /// Ids of calls that went to a server and are over, and until when their ends may still be on their way.
+    resting: BTreeMap<u64, Nanos>,
     /// Events that the node's own doings cause, for after the actions in hand.
     follow: VecDeque<Event>,
     actions: Vec<Action>,
@@ -166,6 +193,7 @@
             next_server: 1,
             next_link: 1,
             unsent: VecDeque::new(),
+            resting: BTreeMap::new(),
             follow: VecDeque::new(),
             actions: Vec::new(),
             listed: false,
@@ -187,13 +215,16 @@
         match input {
             Input::CallerOpened(caller) => drop(self.callers.insert(caller, Caller::new(self.now))),
             Input::CallerMessage(caller, message) => self.on_caller_message(caller, message, effects),
+            Input::CallerLeft(caller) => self.on_caller_left(caller, effects),
             Input::CallerClosed(caller) => self.on_caller_closed(caller, effects),
+            Input::NotTaken(bytes) => self.on_not_taken(bytes, effects),
             Input::LinkUp(link) => self.on_link_up(link, effects),
             Input::LinkMessage(link, message) => self.on_link_message(link, message, effects),
             Input::LinkDown { link, written, refused } => self.on_link_down(link, written, refused, effects),
             Input::NotWritten { link, message } => self.on_not_written(link, message, effects),
             Input::List(endpoints) => self.on_list(&endpoints, effects),
-            Input::MakeRoom => self.make_room(effects),
+            Input::Evict => self.evict(effects),
+            Input::NotEvicted(caller) => self.on_not_evicted(caller),
             Input::Stop => self.on_stop(),
             Input::Timeout => {}
         }
@@ -243,6 +274,8 @@
             ("set-ups given up", self.links.values().map(|link| link.given_up.len()).sum()),
             ("timers", self.timers.len()),
             ("releases unsent", self.unsent.len()),
+            ("ids at rest", self.resting.len()),
+            ("releases on their way", self.links.values().map(|link| link.releases.len()).sum()),
         ];
         own.into_iter().chain(self.brain.sizes()).collect()
     }
@@ -254,6 +287,7 @@
                 Timer::TimeOut(call) => self.give_up_attempt(call, Outcome::TimedOut, effects),
                 Timer::Look => self.look(effects),
                 Timer::Leave => self.leaving = true,
+                Timer::LastCall => self.answer_rest(effects),
             }
             self.run_follow(effects);
         }
@@ -313,11 +347,18 @@
         }
     }
 
+    /// How long after it was asked to stop the process may run.
+    pub fn kill_after_ns(&self) -> Nanos {
+        let longest = self.site.settings.classes.iter().map(|class| class.deadline_ns).max().unwrap_or(0);
+        longest.min(KILL_AFTER_NS.0) + KILL_AFTER_NS.1
+    }
+
     fn on_stop(&mut self) {
         if !self.stopping {
             tracing::info!(calls = self.calls.len(), "stopping once late arrivals have their answers");
             self.stopping = true;
             self.timers.set(Timer::Leave, self.now + LATE_ARRIVALS_NS);
+            self.timers.set(Timer::LastCall, self.now + self.kill_after_ns() - LAST_CALL_NS);
         }
     }
 
--- a/crates/lilacpitch-node/src/core/standing.rs
+++ b/crates/lilacpitch-node/src/core/standing.rs
@@ -3,7 +3,7 @@
 use super::calls::{Attempt, AttemptState, Call};
 use super::{CallerId, Effect, Node};
 use crate::signal::{self, CAUSE_CUT, CAUSE_NORMAL};
-use lilacpitch::interface::{CallId, Outcome, Report, ServerId};
+use lilacpitch::interface::{CallId, Nanos, Outcome, Report, ServerId};
 use lilacpitch_sip::Request;
 
 /// Releases kept for a connection that may take them; the oldest go first.
@@ -20,6 +20,7 @@
         effects: &mut Vec<Effect>,
     ) -> Result<(), (u16, &'static str)> {
         self.callers.entry(caller).and_modify(|c| c.proven = true);
+        self.tell_unsent(caller, effects);
         if self.by_wire.contains_key(&wire) {
             return Ok(());
         }
@@ -96,11 +97,42 @@
             Some(link) if self.links.get(&link).is_some_and(|l| l.up) => {
                 self.transmit(link, bytes, None, effects);
             }
-            Some(link) => drop(self.links.entry(link).and_modify(|l| l.releases.push(bytes))),
+            Some(link) => {
+                let until = self.now + super::links::UNREACHED_NS;
+                // Its server knows nothing of its end yet.
+                self.resting.insert(wire, until);
+                self.links.entry(link).and_modify(|l| l.releases.push((until, bytes)));
+            }
             None => {}
         }
     }
 
+    /// Releases whose connection never came up go by the next, for as long as the server may still be there.
+    pub(super) fn release_again(
+        &mut self,
+        server: ServerId,
+        mut releases: Vec<(Nanos, Vec<u8>)>,
+        effects: &mut Vec<Effect>,
+    ) {
+        releases.retain(|(until, _)| self.now < *until);
+        if releases.is_empty() {
+            return;
+        }
+        let Some(link) = self.link_for(server, &[], effects) else { return };
+        if self.links.get(&link).is_some_and(|l| l.up) {
+            releases.into_iter().for_each(|(_, bytes)| _ = self.transmit(link, bytes, None, effects));
+        } else {
+            self.links.entry(link).and_modify(|l| l.releases.append(&mut releases));
+        }
+    }
+
+    /// A message that a caller's connection did not take: a release goes to another.
+    pub(super) fn on_not_taken(&mut self, bytes: Vec<u8>, effects: &mut Vec<Effect>) {
+        if bytes.starts_with(b"BYE ") {
+            self.send_release(None, bytes, effects);
+        }
+    }
+
     /// Tells a caller that its call is over: on the set-up's connection, else on another, else on the next.
     pub(super) fn tell_release(
         &mut self,
@@ -109,9 +141,13 @@
         cause: u16,
         effects: &mut Vec<Effect>,
     ) {
-        let bytes = Request::bye(&format!("{wire:016x}"), cause);
-        let other = || self.callers.iter().rev().find(|(_, c)| c.proven).map(|(id, _)| *id);
-        match self.callers.get(&caller).map(|_| caller).or_else(other) {
+        self.send_release(Some(caller), Request::bye(&format!("{wire:016x}"), cause), effects);
+    }
+
+    fn send_release(&mut self, caller: Option<CallerId>, bytes: Vec<u8>, effects: &mut Vec<Effect>) {
+        let here = |id: &CallerId| self.callers.get(id).is_some_and(|caller| !caller.gone);
+        let other = || self.callers.iter().rev().find(|(_, c)| c.proven && !c.gone).map(|(id, _)| *id);
+        match caller.filter(here).or_else(other) {
             Some(caller) => effects.push(Effect::ToCaller(caller, bytes)),
             None => {
                 self.unsent.push_back(bytes);
@@ -124,6 +160,8 @@
 
     /// A caller has proven to be one: it takes the releases that had no connection.
     pub(super) fn tell_unsent(&mut self, caller: CallerId, effects: &mut Vec<Effect>) {
-        effects.extend(self.unsent.drain(..).map(|bytes| Effect::ToCaller(caller, bytes)));
+        if self.callers.get(&caller).is_some_and(|caller| !caller.gone) {
+            effects.extend(self.unsent.drain(..).map(|bytes| Effect::ToCaller(caller, bytes)));
+        }
     }
 }
--- a/crates/lilacpitch-node/src/net/driver.rs
+++ b/crates/lilacpitch-node/src/net/driver.rs
@@ -1,36 +1,43 @@
 //! The driver: the one task that owns the node, and the tasks of connections around it.
 
 use super::follow::follow;
-use super::pump::{self, Codec, Heard, Outgoing};
-use crate::config::{Config, ConfigError};
+use crate::config::{Budget, Config, ConfigError};
 use crate::core::{CallerId, Effect, Input, LinkId, Node};
 use crate::signal::{FromServer, LineError, Lines};
-use lilacpitch_net::Clock;
+use lilacpitch_net::{Clock, Codec, Connection, Draining, End, Heard, Outbox, Outgoing, TakenBack};
 use lilacpitch_sip::{Decoder, Message, SipError};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use thiserror::Error;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, watch};
 use tokio::task::AbortHandle;
+use tokio::time::Instant;
 
-/// Inputs that may wait for the driver; what brings them is read no further meanwhile.
-const NEWS_QUEUE: usize = 1024;
+/// Inputs that may wait for the driver; what brings them is read no further meanwhile. Few, so that what comes last
+/// is not far behind.
+const NEWS_QUEUE: usize = 64;
 /// Inputs taken in one round.
-const ROUND: usize = 256;
+const ROUND: usize = 32;
 /// Messages that may wait for one connection.
 const OUT_QUEUE: usize = 512;
-/// How long a caller may take over its first message, and over each that it has begun.
-const CALLER_PATIENCE: Duration = Duration::from_millis(2000);
-/// Descriptors that are neither callers' nor servers': the runtime's own, the listener, the coordinator, spare.
-const OTHER_SOCKETS: usize = 32;
-/// One in so many descriptors is for servers.
-const SERVERS_PART: usize = 8;
+/// Bytes that may wait for a caller who does not read.
+const OUT_BYTES: usize = 32 * 1024;
+/// How long a caller may take over its first message, and over each that it has begun: one that never asks is owed
+/// an end within 3 s.
+const READ_TIMEOUT: Duration = Duration::from_millis(2000);
+/// What a server that does not read may leave waiting in the machine: what is there can't be taken back.
+const LINK_SEND_BYTES: u32 = 32 * 1024;
+/// One in so many places for callers is kept free, so that newcomers don't wait while one is made.
+const SPARE_PART: usize = 16;
 /// The line of counters is written so often.
 const COUNTERS_EVERY: Duration = Duration::from_secs(5);
+/// At the end all connections are closed so long before the kill.
+const CLOSED_BEFORE_KILL: Duration = Duration::from_millis(120);
 
 /// Why a node could not run.
 #[derive(Debug, Error)]
@@ -50,12 +57,12 @@
 pub(super) enum News {
     Input(Input),
     /// What came on a connection could not be read: the kind of that, and what it was.
-    Spoilt(&'static str, String),
+    Malformed(&'static str, String),
 }
 
-/// A connection's queue and its task.
+/// A connection's messages that wait, and its task.
 struct Peer {
-    out: mpsc::Sender<Outgoing>,
+    outbox: Outbox,
     task: AbortHandle,
 }
 
@@ -64,12 +71,19 @@
     clock: Clock,
     connect_timeout: Duration,
     news: mpsc::Sender<News>,
+    /// Callers that have closed, ahead of what they sent before.
+    left: mpsc::UnboundedSender<CallerId>,
+    departures: mpsc::UnboundedReceiver<CallerId>,
     callers: BTreeMap<CallerId, Peer>,
     links: BTreeMap<LinkId, Peer>,
+    /// Callers that go unless something comes from them.
+    evicted: BTreeSet<CallerId>,
+    draining: Rc<Draining>,
     next_caller: CallerId,
     effects: Vec<Effect>,
     /// Connections ended for what came on them, by the kind of that.
-    spoilt: BTreeMap<&'static str, u64>,
+    malformed: BTreeMap<&'static str, u64>,
+    stop_asked: Option<Instant>,
     stopped: bool,
 }
 
@@ -83,10 +97,9 @@
     let config = Config::load(path)?;
     let failed = |e| RunError::Listen(config.listen, e);
     let listener = TcpListener::bind(config.listen).await.map_err(failed)?;
-    let sockets = config.limits.sockets;
-    let max_links = sockets / SERVERS_PART;
-    let max_callers = sockets - max_links - OTHER_SOCKETS;
+    let Budget { callers: max_callers, draining, links: max_links } = config.limits.budget();
     let (news, mut inbox) = mpsc::channel(NEWS_QUEUE);
+    let (left, departures) = mpsc::unbounded_channel();
     let (moved, coordinator) = watch::channel(config.coordinator);
     let connect_timeout = Duration::from_nanos(config.site.connect_timeout_ns);
     let clock = Clock::start();
@@ -97,11 +110,16 @@
         clock,
         connect_timeout,
         news: news.clone(),
+        left,
+        departures,
         callers,
         links,
+        evicted: BTreeSet::new(),
+        draining: Rc::new(Draining::new(draining)),
         next_caller: 1,
         effects,
-        spoilt: BTreeMap::new(),
+        malformed: BTreeMap::new(),
+        stop_asked: None,
         stopped: false,
     };
     tokio::task::spawn_local(follow(config.known, coordinator, news));
@@ -109,29 +127,30 @@
     let mut round = Vec::new();
     let mut counters = tokio::time::interval(COUNTERS_EVERY);
     while !driver.stopped {
-        // One place is kept free; where each connection has a set-up open, accepting pauses until one has not.
-        if driver.callers.len() >= max_callers {
-            driver.feed(Input::MakeRoom);
-        }
+        driver.take_departures();
+        // Some places are kept free; where each connection has a set-up open, accepting pauses until one has not.
+        let wanted = (driver.callers.len() + 1 + max_callers / SPARE_PART).saturating_sub(max_callers);
+        (driver.evicted.len()..wanted).for_each(|_| driver.feed(Input::Evict));
         let due = driver.node.next_timeout().map(|at| driver.clock.instant(at));
         tokio::select! {
             count = inbox.recv_many(&mut round, ROUND) => {
                 debug_assert!(count > 0, "the driver holds a sender itself");
                 round.drain(..).for_each(|news| driver.take(news));
             }
+            Some(caller) = driver.departures.recv() => driver.feed(Input::CallerLeft(caller)),
             accepted = listener.accept(), if driver.callers.len() < max_callers => match accepted {
                 Ok((stream, _)) => driver.accept(stream),
                 Err(error) => {
                     tracing::warn!(%error, "not accepted");
-                    driver.feed(Input::MakeRoom);
+                    driver.feed(Input::Evict);
                     tokio::time::sleep(Duration::from_millis(5)).await;
                 }
             },
-            _ = tokio::time::sleep_until(due.unwrap_or_else(tokio::time::Instant::now)), if due.is_some() => {
+            _ = tokio::time::sleep_until(due.unwrap_or_else(Instant::now)), if due.is_some() => {
                 driver.feed(Input::Timeout);
             }
-            _ = term.recv() => driver.feed(Input::Stop),
-            _ = int.recv() => driver.feed(Input::Stop),
+            _ = term.recv() => driver.stop(),
+            _ = int.recv() => driver.stop(),
             _ = hup.recv() => match Config::load(path) {
                 Ok(config) => {
                     tracing::info!(coordinator = %config.coordinator, "configuration read again");
@@ -142,17 +161,19 @@
             _ = counters.tick() => driver.count(),
         }
     }
-    driver.close().await;
+    driver.close(listener, inbox, max_callers).await;
     tracing::info!("stopped");
     Ok(())
 }
 
 impl Driver {
     fn take(&mut self, news: News) {
+        // A departure found meanwhile comes first: what waits here may be its caller's.
+        self.take_departures();
         let input = match news {
             News::Input(input) => input,
-            News::Spoilt(kind, why) => {
-                let count = self.spoilt.entry(kind).or_default();
+            News::Malformed(kind, why) => {
+                let count = self.malformed.entry(kind).or_default();
                 *count += 1;
                 if *count == 1 {
                     tracing::warn!(
@@ -164,12 +185,31 @@
                 return;
             }
         };
+        let mut not_taken = Vec::new();
         match &input {
-            Input::CallerClosed(caller) => drop(self.callers.remove(caller)),
+            Input::CallerMessage(caller, _) => {
+                if let Some(peer) = self.callers.get(caller) {
+                    peer.outbox.taken();
+                    if peer.outbox.keep() {
+                        self.evicted.remove(caller);
+                    }
+                }
+            }
+            Input::CallerClosed(caller) => {
+                self.evicted.remove(caller);
+                not_taken = self.callers.remove(caller).map_or(not_taken, |peer| peer.outbox.unwritten());
+            }
             Input::LinkDown { link, .. } => drop(self.links.remove(link)),
             _ => {}
         }
         self.feed(input);
+        not_taken.into_iter().for_each(|bytes| self.feed(Input::NotTaken(bytes)));
+    }
+
+    fn take_departures(&mut self) {
+        while let Ok(caller) = self.departures.try_recv() {
+            self.feed(Input::CallerLeft(caller));
+        }
     }
 
     fn feed(&mut self, input: Input) {
@@ -181,13 +221,19 @@
         self.effects = effects;
     }
 
+    fn stop(&mut self) {
+        self.stop_asked.get_or_insert_with(Instant::now);
+        self.feed(Input::Stop);
+    }
+
     fn count(&mut self) {
         let (open, standing) = self.node.calls_now();
         let (callers, links) = self.node.connections_now();
         let c = self.node.counters();
         tracing::info!(
-            open, standing, callers, links, c.taken, c.stood, c.refused, c.failed, c.gone, c.adopted, c.strays,
-            c.links_lost, c.links_mute, c.orphans, outcomes = ?c.outcomes, bad = ?c.bad_messages, spoilt = ?self.spoilt, "counters"
+            open, standing, callers, links, c.taken, c.sends, c.stood, c.refused, c.failed, c.gone, c.adopted, c.strays,
+            c.links_lost, c.links_mute, c.orphans, outcomes = ?c.outcomes, bad = ?c.bad_messages,
+            malformed = ?self.malformed, "counters"
         );
     }
 
@@ -195,29 +241,46 @@
         match effect {
             Effect::ToCaller(caller, bytes) => {
                 let Some(peer) = self.callers.get(&caller) else { return };
-                if peer.out.try_send(Outgoing { number: 0, bytes, not_after_ns: None }).is_err() {
+                peer.outbox.push(Outgoing { number: 0, bytes, not_after_ns: None });
+                let (messages, bytes) = peer.outbox.waiting();
+                if messages > OUT_QUEUE || bytes > OUT_BYTES {
                     // It does not read: it is cut off, so that others don't feel it.
-                    tracing::info!(caller, "caller cut off: it does not read");
-                    peer.task.abort();
-                    self.callers.remove(&caller);
-                    self.tell_later(Input::CallerClosed(caller));
+                    if peer.outbox.ending() != Some(End::Now) {
+                        tracing::info!(caller, "caller cut off: it does not read");
+                    }
+                    peer.outbox.end(End::Now);
                 }
             }
-            Effect::CloseCaller(caller) => drop(self.callers.remove(&caller)),
+            Effect::EvictCaller(caller) => match self.callers.get(&caller) {
+                Some(peer) if peer.outbox.pending() == 0 && peer.outbox.waiting().0 == 0 => {
+                    peer.outbox.end(End::Evict);
+                    self.evicted.insert(caller);
+                }
+                Some(_) => self.tell_later(Input::NotEvicted(caller)),
+                None => {}
+            },
             Effect::ToServer { link, message, bytes, not_after_ns } => {
-                let full = match self.links.get(&link) {
-                    Some(peer) => {
-                        peer.out.try_send(Outgoing { number: message, bytes, not_after_ns }).is_err()
-                    }
-                    None => false,
-                };
-                if full {
+                let Some(peer) = self.links.get(&link) else { return };
+                if peer.outbox.waiting().0 < OUT_QUEUE {
+                    peer.outbox.push(Outgoing { number: message, bytes, not_after_ns });
+                } else {
                     self.tell_later(Input::NotWritten { link, message });
                 }
             }
+            Effect::Withdraw { link, message, stop, bytes } => {
+                let Some(peer) = self.links.get(&link) else { return };
+                match peer.outbox.take_back(message) {
+                    TakenBack::Whole => {}
+                    TakenBack::Begun => peer.outbox.end(End::Now),
+                    TakenBack::TooLate => {
+                        peer.outbox.push(Outgoing { number: stop, bytes, not_after_ns: None });
+                    }
+                }
+            }
             Effect::Connect(link, address) => self.connect(link, address),
-            // The queue's end ends the task, once what it holds is written.
-            Effect::Disconnect(link) => drop(self.links.remove(&link)),
+            Effect::Disconnect(link) => {
+                self.links.remove(&link).iter().for_each(|peer| peer.outbox.end(End::Done));
+            }
             Effect::Stopped => self.stopped = true,
         }
     }
@@ -233,8 +296,15 @@
     fn accept(&mut self, stream: TcpStream) {
         let caller = self.next_caller;
         self.next_caller += 1;
-        let (out, mut queue) = mpsc::channel(OUT_QUEUE);
-        let (news, clock) = (self.news.clone(), self.clock);
+        let outbox = Outbox::default();
+        let (news, left, draining) = (self.news.clone(), self.left.clone(), self.draining.clone());
+        let connection = Connection {
+            stream,
+            codec: Sip::default(),
+            clock: self.clock,
+            read_timeout: Some(READ_TIMEOUT),
+            outbox: outbox.clone(),
+        };
         let task = tokio::task::spawn_local(async move {
             let heard = async |heard| match heard {
                 Heard::Message(message) => {
@@ -242,24 +312,30 @@
                 }
                 Heard::NotWritten(_) => true,
             };
-            let ended =
-                pump::run(stream, Sip::default(), clock, Some(CALLER_PATIENCE), &mut queue, heard).await;
+            let (ended, rest) = connection.run(|| _ = left.send(caller), heard).await;
             tracing::debug!(caller, why = ended.why, "caller's connection ended");
-            if let Some(kind) = ended.spoilt {
-                let _ = news.send(News::Spoilt(kind, ended.why)).await;
+            if let Some(kind) = ended.malformed {
+                let _ = news.send(News::Malformed(kind, ended.why)).await;
             }
             let _ = news.send(News::Input(Input::CallerClosed(caller))).await;
+            rest.drain(&draining).await;
         });
-        self.callers.insert(caller, Peer { out, task: task.abort_handle() });
+        self.callers.insert(caller, Peer { outbox, task: task.abort_handle() });
         self.feed(Input::CallerOpened(caller));
     }
 
     fn connect(&mut self, link: LinkId, address: SocketAddr) {
-        let (out, mut queue) = mpsc::channel(OUT_QUEUE);
+        let outbox = Outbox::default();
         let (news, clock, limit) = (self.news.clone(), self.clock, self.connect_timeout);
+        let (own, draining) = (outbox.clone(), self.draining.clone());
         let task = tokio::task::spawn_local(async move {
-            let (mut written, mut refused) = (0, false);
-            match tokio::time::timeout(limit, TcpStream::connect(address)).await {
+            let (mut written, mut refused, mut left) = (0, false, None);
+            let connected = tokio::select! {
+                connected = tokio::time::timeout(limit, connect(address)) => connected,
+                // Nothing is given to a connection before it is up: this is its end.
+                () = own.changed() => return,
+            };
+            match connected {
                 Ok(Ok(stream)) => {
                     if news.send(News::Input(Input::LinkUp(link))).await.is_err() {
                         return;
@@ -271,11 +347,14 @@
                         };
                         news.send(News::Input(input)).await.is_ok()
                     };
-                    let ended = pump::run(stream, Json::default(), clock, None, &mut queue, heard).await;
+                    let connection =
+                        Connection { stream, codec: Json::default(), clock, read_timeout: None, outbox: own };
+                    let (ended, rest) = connection.run(|| (), heard).await;
                     tracing::debug!(link, %address, why = ended.why, "connection to a server ended");
                     written = ended.written;
-                    if let Some(kind) = ended.spoilt {
-                        let _ = news.send(News::Spoilt(kind, format!("{address}: {}", ended.why))).await;
+                    left = Some(rest);
+                    if let Some(kind) = ended.malformed {
+                        let _ = news.send(News::Malformed(kind, format!("{address}: {}", ended.why))).await;
                     }
                 }
                 Ok(Err(error)) => {
@@ -285,25 +364,79 @@
                 Err(_) => tracing::debug!(link, %address, "no connection in time"),
             }
             let _ = news.send(News::Input(Input::LinkDown { link, written, refused })).await;
+            if let Some(rest) = left {
+                rest.drain(&draining).await;
+            }
         });
-        self.links.insert(link, Peer { out, task: task.abort_handle() });
+        self.links.insert(link, Peer { outbox, task: task.abort_handle() });
     }
 
-    /// Ends all connections: what was queued for them is written if they read it soon.
-    async fn close(mut self) {
-        let tasks: Vec<AbortHandle> =
-            self.callers.values().chain(self.links.values()).map(|peer| peer.task.clone()).collect();
-        self.callers.clear();
-        self.links.clear();
-        for _ in 0..40 {
-            if tasks.iter().all(AbortHandle::is_finished) {
-                return;
+    /// Ends all connections: all that has arrived by now is answered, and what was queued is written if it is read
+    /// before the kill.
+    async fn close(mut self, listener: TcpListener, mut inbox: mpsc::Receiver<News>, max_callers: usize) {
+        let asked = self.stop_asked.unwrap_or_else(Instant::now);
+        let until = asked + Duration::from_nanos(self.node.kill_after_ns()) - CLOSED_BEFORE_KILL;
+        // One that does not read until then is cut off by the kill's time, but by no less than a while.
+        let until = until.max(Instant::now() + CLOSED_BEFORE_KILL);
+        let mut tasks: Vec<AbortHandle> = Vec::new();
+        let mut listener = Some(listener);
+        loop {
+            for (_, peer) in self.callers.iter().filter(|(_, peer)| peer.outbox.ending() != Some(End::Finish))
+            {
+                peer.outbox.end(End::Finish);
+                tasks.push(peer.task.clone());
+            }
+            let accepting = listener.as_ref().filter(|_| self.callers.len() < max_callers);
+            let quiet = tokio::time::sleep(QUIET);
+            tokio::select! {
+                biased;
+                Some(news) = inbox.recv() => self.take(news),
+                accepted = accept(accepting), if accepting.is_some() => match accepted {
+                    Ok(stream) => self.accept(stream),
+                    Err(_) => tokio::time::sleep(Duration::from_millis(5)).await,
+                },
+                () = tokio::time::sleep_until(until) => break,
+                // Nobody has come, and nothing more was read.
+                () = quiet => {
+                    if self.callers.len() < max_callers {
+                        listener = None;
+                    }
+                    if self.callers.is_empty() && listener.is_none() {
+                        break;
+                    }
+                }
             }
-            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        for peer in self.links.values() {
+            peer.outbox.end(End::Done);
+            tasks.push(peer.task.clone());
+        }
+        // The news that ends them is not read any more.
+        inbox.close();
+        while tasks.iter().any(|task| !task.is_finished()) && Instant::now() < until.max(asked + QUIET) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
         }
     }
 }
 
+/// Nothing has come for so long: nothing is on its way on this machine.
+const QUIET: Duration = Duration::from_millis(10);
+
+/// Makes a connection to a server on which little can wait that can't be taken back.
+async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    // Where the machine doesn't allow it, more can wait: nothing else is different.
+    let _ = socket.set_send_buffer_size(LINK_SEND_BYTES);
+    socket.connect(address).await
+}
+
+async fn accept(listener: Option<&TcpListener>) -> io::Result<TcpStream> {
+    match listener {
+        Some(listener) => listener.accept().await.map(|(stream, _)| stream),
+        None => std::future::pending().await,
+    }
+}
+
 #[derive(Default)]
 struct Sip(Decoder);
 
@@ -335,6 +468,23 @@
     fn last_words(error: &SipError) -> Option<Vec<u8>> {
         error.answer().map(|(status, reason, request)| request.response(status, reason))
     }
+
+    /// A set-up that was given up before anybody saw it is none.
+    fn settle(batch: &mut Vec<Message>) {
+        let of = |message: &Message, method: &str| match message {
+            Message::Request(request) if request.method == method => request.call_id.clone(),
+            _ => None,
+        };
+        let mut given_up = BTreeSet::new();
+        let mut at = batch.len();
+        while at > 0 {
+            at -= 1;
+            given_up.extend(of(&batch[at], "CANCEL"));
+            if of(&batch[at], "INVITE").is_some_and(|id| given_up.remove(&id)) {
+                batch.remove(at);
+            }
+        }
+    }
 }
 
 #[derive(Default)]
--- a/crates/lilacpitch-node/src/net/follow.rs
+++ b/crates/lilacpitch-node/src/net/follow.rs
@@ -9,7 +9,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
 
 /// How long an answer may be held back at the coordinator. Short: what a silent one would have told counts from its
 /// end on.
@@ -20,17 +20,20 @@
 const MAX_ANSWER_BYTES: usize = 8 << 20;
 /// Pauses while no connection can be made: the first, and the longest.
 const PAUSE: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(500));
+/// Pauses while connections are made and bring nothing: what a broken watch would have told counts as told soon.
+const BROKEN_PAUSE: (Duration, Duration) = (Duration::from_millis(10), Duration::from_millis(200));
 
 /// Follows until nobody listens. `at`: where the coordinator is, which may change.
 pub(super) async fn follow(known: Told, mut at: watch::Receiver<SocketAddr>, news: mpsc::Sender<News>) {
     let mut follower = Follower::default();
-    let mut pause = PAUSE.0;
-    if !tell(&mut follower, known, &news).await {
+    let (mut pause, mut broken_pause) = (PAUSE.0, BROKEN_PAUSE.0);
+    if tell(&mut follower, known, &news).await.is_none() {
         return;
     }
     let mut connection = None;
     loop {
         let address = *at.borrow_and_update();
+        let from = Instant::now();
         let asked = tokio::select! {
             asked = ask(&mut connection, address, follower.index()) => asked,
             changed = at.changed() => {
@@ -45,38 +48,52 @@
         match asked {
             Ok(told) => {
                 pause = PAUSE.0;
-                if !tell(&mut follower, told, &news).await {
-                    return;
+                let Some(events) = tell(&mut follower, told, &news).await else { return };
+                if events > 0 || from.elapsed() > BROKEN_PAUSE.1 {
+                    broken_pause = BROKEN_PAUSE.0;
+                } else {
+                    // It answers at once, and has nothing to tell.
+                    rest(&mut broken_pause, BROKEN_PAUSE.1, &mut at).await;
                 }
             }
             Err((connected, why)) => {
                 connection = None;
                 tracing::debug!(%address, why, "coordinator");
                 if connected {
-                    let _ = news.send(News::Spoilt("coordinator's answer", why)).await;
-                    // It broke off: what it would have told counts as told soon. Asked again at once, but never
-                    // in a spin.
+                    let _ = news.send(News::Malformed("coordinator's answer", why)).await;
                     pause = PAUSE.0;
-                    tokio::time::sleep(Duration::from_millis(10)).await;
+                    rest(&mut broken_pause, BROKEN_PAUSE.1, &mut at).await;
                     continue;
                 }
                 tracing::warn!(%address, why, "coordinator not reached");
-                tokio::select! {
-                    () = tokio::time::sleep(pause) => pause = (pause * 2).min(PAUSE.1),
-                    _ = at.changed() => pause = PAUSE.0,
-                }
+                rest(&mut pause, PAUSE.1, &mut at).await;
             }
         }
     }
 }
 
-async fn tell(follower: &mut Follower, told: Told, news: &mpsc::Sender<News>) -> bool {
-    for endpoints in follower.take(told) {
-        if news.send(News::Input(Input::List(endpoints))).await.is_err() {
-            return false;
-        }
+/// Rests for a pause, which grows, or until the coordinator has moved.
+async fn rest(pause: &mut Duration, most: Duration, at: &mut watch::Receiver<SocketAddr>) {
+    let moved = async |at: &mut watch::Receiver<SocketAddr>| match at.has_changed() {
+        Ok(_) => drop(at.changed().await),
+        // Nobody will move it: its owner has gone, and the next ask notices.
+        Err(_) => std::future::pending().await,
+    };
+    tokio::select! {
+        () = tokio::time::sleep(*pause) => *pause = (*pause * 2).min(most),
+        // Looked at again where the coordinator is.
+        () = moved(at) => at.mark_changed(),
+    }
+}
+
+/// Tells the events of an answer: how many; `None`, nobody listens.
+async fn tell(follower: &mut Follower, told: Told, news: &mpsc::Sender<News>) -> Option<usize> {
+    let events = follower.take(told);
+    let count = events.len();
+    for endpoints in events {
+        news.send(News::Input(Input::List(endpoints))).await.ok()?;
     }
-    true
+    Some(count)
 }
 
 /// Asks once, on the connection that is there or on a new one. An error says whether there was one.
--- a/crates/lilacpitch-node/src/net/mod.rs
+++ b/crates/lilacpitch-node/src/net/mod.rs
@@ -6,6 +6,5 @@
 
 mod driver;
 mod follow;
-mod pump;
 
 pub use driver::{run, RunError};
--- a/crates/lilacpitch-node/tests/soak.rs
+++ b/crates/lilacpitch-node/tests/soak.rs
@@ -1,13 +1,12 @@
 //! Thousands of replaced servers and ever new ids: each map returns to its size, the module's too.
 
-use lilacpitch_node::config::Config;
 use lilacpitch_node::coordinator::told;
 use lilacpitch_node::core::{Effect, Input, LinkId, Node};
 use lilacpitch_node::signal::FromServer;
-use lilacpitch_sip::{Decoder, Message};
 use serde_json::json;
 
-const MS: u64 = 1_000_000;
+mod common;
+use common::{config, request, MS};
 
 /// A node in virtual time, and servers that answer as they are told.
 struct Soak {
@@ -21,36 +20,6 @@
     released: usize,
 }
 
-fn config() -> Config {
-    let text = json!({
-        "name": "n0", "listen": "127.0.0.1:1", "seed": "1", "limits": {"sockets": 256},
-        "coordinator": "127.0.0.1:2", "known": {"index": 0, "updates": []},
-        "settings": {
-            "classes": [{"name": "plain", "aim_ns": 1_000 * MS, "deadline_ns": 4_000 * MS, "worth": 1}],
-            "permissions": {"cancel": true, "max_attempts": 6, "max_retry_after_ns": 2_000 * MS,
-                "retry_after": true},
-            "family_info": {"release_ns": 300 * MS, "retransmit_ns": 400 * MS},
-            "rules": {"stop_sending_within_ns": 500 * MS, "cold_from": 0.3, "cold_ns": 2_000 * MS,
-                "tip_multiple": 3.0},
-            "tick_ns": 5 * MS
-        }
-    });
-    Config::read("soak", &text.to_string()).unwrap()
-}
-
-fn request(method: &str, call: u64) -> Message {
-    let body = "c=IN IP4 10.0.0.1\r\n";
-    let text = format!(
-        "{method} sip:{call:016x}@net SIP/2.0\r\nCall-ID: {call:016x}\r\nCSeq: 1 {method}\r\nP-Kind: plain\r\n\
-         P-Time-Left: 3000\r\nP-Path: dest:{}\r\nContent-Length: {}\r\n\r\n{body}",
-        call % 3,
-        body.len()
-    );
-    let mut decoder = Decoder::default();
-    decoder.feed(text.as_bytes());
-    decoder.next_message().unwrap().unwrap()
-}
-
 impl Soak {
     fn new() -> Self {
         let node = Node::new(config().site, 32, 1_000_000 * MS, 7);
@@ -68,7 +37,8 @@
                     self.feed(Input::LinkUp(link));
                 }
                 Effect::Disconnect(link) => self.links.retain(|l| *l != link),
-                Effect::ToServer { link, bytes, .. } => {
+                // What is taken back had left: its server is told.
+                Effect::ToServer { link, bytes, .. } | Effect::Withdraw { link, bytes, .. } => {
                     let line: serde_json::Value = serde_json::from_slice(&bytes).unwrap();
                     let uid = line["uid"].as_str().unwrap().to_string();
                     match line["kind"].as_str() {
