--- a/crates/lilacpitch-edge/src/front/calls.rs
+++ b/crates/lilacpitch-edge/src/front/calls.rs
@@ -78,8 +78,8 @@
             id,
             class,
             first_choice,
-            // The caller's time began when it sent, which may be before a standstill of this front.
-            budget_ns: (asked.budget_ms * 1_000_000).saturating_sub(self.standstill.span_ns(self.now)),
+            // The caller's time began when it sent, which may be before a stall of this front.
+            budget_ns: (asked.budget_ms * 1_000_000).saturating_sub(self.stall.span_ns(self.now)),
             dialled: asked.number.as_deref().map(dialled),
             width: 1.0,
             again: false,
@@ -183,7 +183,7 @@
     pub(super) fn resend(&mut self, id: AttemptId, effects: &mut Vec<Effect>) {
         let Some(attempt) = self.attempts.get(&id) else { return };
         let out = matches!(attempt.state, AttemptState::Out { .. });
-        // After a standstill of this front both may be due: what has timed out is not sent again.
+        // After a stall of this front both may be due: what has timed out is not sent again.
         let over = self.timers.at(Timer::TimeOut(id)).is_none_or(|at| at <= self.now);
         if out && !over && (self.servers.in_service(attempt.server) || !self.guards.drains) {
             self.transmit_setup(id, effects);
@@ -222,12 +222,12 @@
         }
     }
 
-    pub(super) fn refuse(&mut self, id: u64, come_back_ns: Option<Nanos>, effects: &mut Vec<Effect>) {
+    pub(super) fn refuse(&mut self, id: u64, retry_after_ns: Option<Nanos>, effects: &mut Vec<Effect>) {
         let Some(call) = self.remove_call(id) else { return };
         self.counters.calls_refused += 1;
-        call.span.in_scope(|| tracing::debug!(come_back_ns, "refused"));
+        call.span.in_scope(|| tracing::debug!(retry_after_ns, "refused"));
         // Rounded up: a caller that comes back a moment early would be refused again.
-        let come_back_ms = come_back_ns.map(|ns| ns.div_ceil(1_000_000));
+        let come_back_ms = retry_after_ns.map(|ns| ns.div_ceil(1_000_000));
         let answer = ToCaller::Final { call: call.name, answer: Answer::Refused, come_back_ms, cause: None };
         effects.push(Effect::ToCaller(call.caller, answer.encode()));
     }
--- a/crates/lilacpitch-edge/src/front/mod.rs
+++ b/crates/lilacpitch-edge/src/front/mod.rs
@@ -25,7 +25,7 @@
 use lilacpitch::interface::{Action, Nanos, Outcome, Report};
 use lilacpitch::{Controller, Event, Policy, Settings};
 use lilacpitch_config::{Edge, Pools};
-use lilacpitch_net::{Standstill, Timers};
+use lilacpitch_net::{Stall, Timers};
 use lilacpitch_protocol::message::call::{FromCaller, ToCaller};
 use links::Servers;
 use rand_core::SeedableRng;
@@ -165,7 +165,7 @@
     actions: Vec<Action>,
     stopping: bool,
     stopped: bool,
-    standstill: Standstill,
+    stall: Stall,
     counters: Counters,
     fleet: Option<fleet::Fleet>,
 }
@@ -214,7 +214,7 @@
             actions: Vec::new(),
             stopping: false,
             stopped: false,
-            standstill: Standstill::default(),
+            stall: Stall::default(),
             counters: Counters::default(),
             fleet: settings.fleet.as_ref().map(fleet::Fleet::new),
             settings,
@@ -224,7 +224,7 @@
     /// Takes one input and appends what is to be done. A clock that runs back stands still.
     pub fn handle(&mut self, now: Nanos, input: Input, effects: &mut Vec<Effect>) {
         self.now = self.now.max(now);
-        self.standstill.note(self.now, self.timers.first(), 2 * self.settings.timing.tick_ns);
+        self.stall.note(self.now, self.timers.first(), 2 * self.settings.timing.tick_ns);
         // What is due goes first: an answer that comes with its time-out comes too late.
         self.fire_due(effects);
         match input {
@@ -321,7 +321,7 @@
                 match action {
                     Action::Send { call, server, timeout_ns } => self.send(call, server, timeout_ns, effects),
                     Action::Cancel { call, attempt } => self.cancel(call, attempt, effects),
-                    Action::Refuse { call, come_back_ns } => self.refuse(call, come_back_ns, effects),
+                    Action::Refuse { call, retry_after_ns } => self.refuse(call, retry_after_ns, effects),
                     Action::Fail { call } => self.fail(call, "no further attempt is allowed", effects),
                     Action::WakeAt(at) => self.timers.set_no_later(Timer::Module, at),
                     // The pool list comes unasked.
--- a/crates/lilacpitch-edge/src/front/site.rs
+++ b/crates/lilacpitch-edge/src/front/site.rs
@@ -72,7 +72,7 @@
             release_ns: edge.rules.release_ns,
             max_attempts: edge.rules.max_attempts,
             may_cancel: true,
-            max_come_back_ns: edge.timing.come_back_longest_ns,
+            max_retry_after_ns: edge.timing.come_back_longest_ns,
             list_on_request: false,
             cold_from: edge.rules.cold_from,
             cold_ns: edge.rules.cold_span_ns,
--- a/crates/lilacpitch-edge/tests/hard_cases.rs
+++ b/crates/lilacpitch-edge/tests/hard_cases.rs
@@ -306,7 +306,7 @@
 }
 
 #[test]
-fn what_waited_through_a_standstill_has_less_time_left() {
+fn what_waited_through_a_stall_has_less_time_left() {
     // Found on a drawn day: a call sent to a front that stood still was given its whole time from the reading on.
     let (servers, edge) = two();
     let mut caller = Caller::connect(&edge);
--- a/crates/lilacpitch-edge/tests/node/servers.rs
+++ b/crates/lilacpitch-edge/tests/node/servers.rs
@@ -6,7 +6,7 @@
 use std::net::TcpListener;
 
 /// What a server may send in an answer's place; each spoils its connection and nothing else.
-fn spoilt() -> Vec<(&'static str, Vec<u8>)> {
+fn malformed() -> Vec<(&'static str, Vec<u8>)> {
     vec![
         ("noise", (0..200u8).chain(*b"\n").collect()),
         ("broken JSON", b"{\"kind\":\"running\",\"uid\":\"00000000000000\n".to_vec()),
@@ -23,8 +23,8 @@
 }
 
 #[test]
-fn spoilt_answers_cost_their_connection_alone() {
-    for (what, bytes) in spoilt() {
+fn malformed_answers_cost_their_connection_alone() {
+    for (what, bytes) in malformed() {
         let server = Server::start();
         let node = Node::start(&[&server]);
         let mut caller = node.caller();
--- a/crates/lilacpitch-edge/tests/node/signals.rs
+++ b/crates/lilacpitch-edge/tests/node/signals.rs
@@ -85,7 +85,7 @@
 }
 
 #[test]
-fn after_a_standstill_what_was_due_is_judged_before_what_was_read() {
+fn after_a_stall_what_was_due_is_judged_before_what_was_read() {
     let (server, node, mut caller) = Node::with_one_server();
     caller.invite(&id(1), 0, 500);
     let launch = server.next("launch");
@@ -126,5 +126,12 @@
     assert!(run(Some(&good.replace("\"tick_ns\":5000000", "\"tick_ns\":0"))).contains("settings.tick_ns"));
     assert!(run(Some(&good.replace("\"classes\"", "\"glasses\""))).contains("settings.classes"));
     assert!(run(Some(&good.replace("\"sockets\":256", "\"sockets\":8"))).contains("limits.sockets"));
+    assert!(run(Some(&good.replace("\"sockets\":256", "\"sockets\":63"))).contains("limits.sockets"));
+    assert!(run(Some(&good.replace("\"sockets\":256", "\"sockets\":-1"))).contains("configuration"));
+    assert!(run(Some(&good.replace("\"memory_mb\":48", "\"memory_mb\":1"))).contains("limits.memory_mb"));
+    let worth = good.replacen("\"worth\":3", "\"worth\":\"three\"", 1);
+    assert!(run(Some(&worth)).contains("settings.classes[1].worth: not a number"));
+    let deadline = good.replacen("\"deadline_ns\":4000000000", "\"deadline_ns\":-4", 1);
+    assert!(run(Some(&deadline)).contains("settings.classes[0].deadline_ns"));
     assert!(run(Some(&good.replace("\"index\":0", "\"index\":\"x\""))).contains("known"));
 }
--- a/crates/lilacpitch-fleet/src/asker.rs
+++ b/crates/lilacpitch-fleet/src/asker.rs
@@ -84,7 +84,7 @@
             max_attempts: 3,
             // Attempts that time out go to another process while there is time.
             may_cancel: false,
-            max_come_back_ns: 0,
+            max_retry_after_ns: 0,
             list_on_request: false,
             cold_from: 1.0,
             cold_ns: 0,
--- a/crates/lilacpitch-lab/src/baseline.rs
+++ b/crates/lilacpitch-lab/src/baseline.rs
@@ -235,8 +235,8 @@
 
     fn refuse(&mut self, id: CallId, actions: &mut Vec<Action>) {
         self.calls.remove(&id);
-        let come_back_ns = Some((S / 2).min(self.settings.max_come_back_ns)).filter(|w| *w > 0);
-        actions.push(Action::Refuse { call: id, come_back_ns });
+        let retry_after_ns = Some((S / 2).min(self.settings.max_retry_after_ns)).filter(|w| *w > 0);
+        actions.push(Action::Refuse { call: id, retry_after_ns });
     }
 
     /// What an attempt's end does to the server's standing.
--- a/crates/lilacpitch-net/src/addresses.rs
+++ b/crates/lilacpitch-net/src/addresses.rs
@@ -53,23 +53,3 @@
     }
     Ok(ports)
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use std::net::{TcpListener, UdpSocket};
-
-    #[test]
-    fn none_is_given_twice_nor_one_that_is_in_use() {
-        let first = free_addresses(3).unwrap();
-        let next = |more| SocketAddr::from(([127, 0, 0, 1], first[2].port() + more));
-        let held = (TcpListener::bind(next(1)), UdpSocket::bind(next(2)));
-        let second = free_addresses(40).unwrap();
-        assert!(!second.iter().any(|address| first.contains(address)));
-        assert!(held.0.is_err() || !second.contains(&next(1)), "{} is in use", next(1));
-        assert!(held.1.is_err() || !second.contains(&next(2)), "{} is in use", next(2));
-        let free =
-            |address: &SocketAddr| TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok();
-        assert!(second.iter().all(free), "all can be listened at");
-    }
-}
--- a/crates/lilacpitch-node/src/core/calls.rs
+++ b/crates/lilacpitch-node/src/core/calls.rs
@@ -84,8 +84,8 @@
             id,
             class: asked.class,
             first_choice: asked.first_choice,
-            // The caller's time began when it sent, which may be before a standstill of this node.
-            budget_ns: (asked.left_ms * 1_000_000).saturating_sub(self.standstill.span_ns(self.now)),
+            // The caller's time began when it sent, which may be before a stall of this node.
+            budget_ns: (asked.left_ms * 1_000_000).saturating_sub(self.stall.span_ns(self.now)),
             dialled: Some(dialled(&asked.number)),
             width: asked.width,
             again: asked.again,
@@ -260,8 +260,8 @@
     }
 
     /// Final answer: turned away.
-    pub(super) fn refuse(&mut self, id: CallId, come_back_ns: Option<Nanos>, effects: &mut Vec<Effect>) {
-        let wait_ms = come_back_ns.map(|wait| ("P-Gap-Ms", wait.div_ceil(1_000_000).to_string()));
+    pub(super) fn refuse(&mut self, id: CallId, retry_after_ns: Option<Nanos>, effects: &mut Vec<Effect>) {
+        let wait_ms = retry_after_ns.map(|wait| ("P-Gap-Ms", wait.div_ceil(1_000_000).to_string()));
         if self.final_answer(id, 503, "Service Unavailable", wait_ms.as_slice(), effects) {
             self.counters.refused += 1;
         }
--- a/crates/lilacpitch-node/src/core/links.rs
+++ b/crates/lilacpitch-node/src/core/links.rs
@@ -8,7 +8,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-/// Connections to one server: a spoilt one takes few set-ups with it.
+/// Connections to one server, by the protocol page on its messages: what ends one takes few set-ups with it.
 const LINKS_PER_SERVER: usize = 4;
 /// Servers are looked at so often.
 pub(super) const LOOK_NS: Nanos = 250_000_000;
--- a/crates/lilacpitch-node/src/core/mod.rs
+++ b/crates/lilacpitch-node/src/core/mod.rs
@@ -21,7 +21,7 @@
 use lilacpitch::interface::{Action, CallId, Nanos, Outcome, Report, ServerId};
 use lilacpitch::settings::Site;
 use lilacpitch::{Controller, Event};
-use lilacpitch_net::{Standstill, Timers};
+use lilacpitch_net::{Stall, Timers};
 use lilacpitch_sip::Message;
 use links::{Link, Server};
 use std::collections::{BTreeMap, VecDeque};
@@ -153,7 +153,7 @@
     by_uid: BTreeMap<String, ServerId>,
     links: BTreeMap<LinkId, Link>,
     timers: Timers<Timer>,
-    standstill: Standstill,
+    stall: Stall,
     next_call: CallId,
     next_server: ServerId,
     next_link: LinkId,
@@ -188,7 +188,7 @@
             by_uid: BTreeMap::new(),
             links: BTreeMap::new(),
             timers: Timers::default(),
-            standstill: Standstill::default(),
+            stall: Stall::default(),
             next_call: 1,
             next_server: 1,
             next_link: 1,
@@ -209,7 +209,7 @@
     /// Takes one input and appends what is to be done about it.
     pub fn handle(&mut self, now: Nanos, input: Input, effects: &mut Vec<Effect>) {
         self.now = self.now.max(now);
-        self.standstill.note(self.now, self.timers.first(), 2 * self.site.settings.tick_ns);
+        self.stall.note(self.now, self.timers.first(), 2 * self.site.settings.tick_ns);
         // What was due before is judged before what has been read since.
         self.fire_due(effects);
         match input {
@@ -304,7 +304,7 @@
                 match action {
                     Action::Send { call, server, timeout_ns } => self.send(call, server, timeout_ns, effects),
                     Action::Cancel { call, attempt } => self.cancel(call, attempt, effects),
-                    Action::Refuse { call, come_back_ns } => self.refuse(call, come_back_ns, effects),
+                    Action::Refuse { call, retry_after_ns } => self.refuse(call, retry_after_ns, effects),
                     Action::Fail { call } => self.fail(call, effects),
                     Action::WakeAt(at) => self.timers.set_no_later(Timer::Module, at),
                     // The coordinator is followed in any case.
--- a/crates/lilacpitch-node/tests/soak.rs
+++ b/crates/lilacpitch-node/tests/soak.rs
@@ -134,7 +134,7 @@
 }
 
 #[test]
-fn an_answer_read_after_a_standstill_does_not_undo_what_was_due_before() {
+fn an_answer_read_after_a_stall_does_not_undo_what_was_due_before() {
     let mut soak = Soak::new();
     soak.list(1, true, &[(0, "in_service"), (1, "in_service"), (2, "in_service")]);
     soak.feed(Input::CallerOpened(1));
--- a/crates/lilacpitch/benches/event_cost.rs
+++ b/crates/lilacpitch/benches/event_cost.rs
@@ -26,7 +26,7 @@
         release_ns: 3 * S / 10,
         max_attempts: 6,
         may_cancel: true,
-        max_come_back_ns: 2 * S,
+        max_retry_after_ns: 2 * S,
         list_on_request: false,
         cold_from: 0.3,
         cold_ns: 10 * S,
--- a/crates/lilacpitch/src/brain.rs
+++ b/crates/lilacpitch/src/brain.rs
@@ -533,8 +533,8 @@
         }
         // Drawn, so that refused callers don't come back in step.
         let wait = share(self.gap_ns, 1.0 + self.drawn());
-        let come_back_ns = Some(wait.min(self.settings.max_come_back_ns)).filter(|w| *w > 0);
-        actions.push(Action::Refuse { call: id, come_back_ns });
+        let retry_after_ns = Some(wait.min(self.settings.max_retry_after_ns)).filter(|w| *w > 0);
+        actions.push(Action::Refuse { call: id, retry_after_ns });
     }
 
     fn forget(&mut self, id: CallId) {
--- a/crates/lilacpitch/src/interface.rs
+++ b/crates/lilacpitch/src/interface.rs
@@ -66,7 +66,7 @@
     /// Whether attempts may be called off.
     pub may_cancel: bool,
     /// Whether callers are told when to come back, and the longest wait they heed; 0: not told.
-    pub max_come_back_ns: Nanos,
+    pub max_retry_after_ns: Nanos,
     /// Whether the list of servers must be asked for.
     pub list_on_request: bool,
     /// A server starts with at least this share of its capacity,
@@ -276,7 +276,7 @@
         /// The call.
         call: CallId,
         /// When the caller had better come back, if anything is said.
-        come_back_ns: Option<Nanos>,
+        retry_after_ns: Option<Nanos>,
     },
     /// Final answer: failed.
     Fail {
--- a/crates/lilacpitch/src/settings.rs
+++ b/crates/lilacpitch/src/settings.rs
@@ -79,7 +79,7 @@
         let all = at("classes").and_then(Value::as_array).map_or(&[][..], Vec::as_slice);
         let pools = |index: usize| at("family_info.pools_by_class").and_then(|p| p.get(index));
         let classes =
-            all.iter().enumerate().map(|(i, c)| class(c, pools(i))).collect::<Result<Vec<_>, _>>()?;
+            all.iter().enumerate().map(|(i, c)| class(i, c, pools(i))).collect::<Result<Vec<_>, _>>()?;
         if classes.is_empty() {
             return fault("classes", "no classes");
         }
@@ -96,7 +96,7 @@
             release_ns: span("family_info.release_ns", 0.0)?,
             max_attempts: number("permissions.max_attempts", 1.0)?.max(1.0) as u32,
             may_cancel: flag("permissions.cancel", false)?,
-            max_come_back_ns: if retry_after { span("permissions.max_retry_after_ns", 0.0)? } else { 0 },
+            max_retry_after_ns: if retry_after { span("permissions.max_retry_after_ns", 0.0)? } else { 0 },
             list_on_request: word(at("discovery")) == "on_request",
             cold_from: number("rules.cold_from", 1.0)?.clamp(0.0, 1.0),
             cold_ns: span("rules.cold_ns", 0.0)?,
@@ -138,30 +138,37 @@
     value.and_then(Value::as_str).unwrap_or("").to_string()
 }
 
-fn class(class: &Value, pools: Option<&Value>) -> Result<Class, SettingsError> {
-    let figure = |key: &str, default: f64| class.get(key).and_then(Value::as_f64).unwrap_or(default);
+fn class(index: usize, class: &Value, pools: Option<&Value>) -> Result<Class, SettingsError> {
+    let at = |key: &str| format!("classes[{index}].{key}");
+    let figure = |key: &str, default: f64| match class.get(key) {
+        None | Some(Value::Null) => Ok(default),
+        Some(value) => match value.as_f64() {
+            Some(figure) if figure.is_finite() && figure >= 0.0 => Ok(figure),
+            _ => fault(&at(key), "not a number of 0 or more"),
+        },
+    };
     let scope = match word(class.get("dedup_scope")).as_str() {
         "zone" => Scope::Zone,
         "cell" => Scope::Number,
         _ => Scope::All,
     };
-    let aim_ns = figure("aim_ns", 0.0) as Nanos;
+    let aim_ns = figure("aim_ns", 0.0)? as Nanos;
     if aim_ns == 0 {
-        return fault("classes.aim_ns", "must be above 0");
+        return fault(&at("aim_ns"), "must be above 0");
     }
     let pools = pools.and_then(Value::as_array).into_iter().flatten();
     Ok(Class {
         aim_ns,
-        deadline_ns: figure("deadline_ns", aim_ns as f64) as Nanos,
-        worth: figure("worth", 1.0),
-        late_worth: figure("late_worth", 0.0),
+        deadline_ns: figure("deadline_ns", aim_ns as f64)? as Nanos,
+        worth: figure("worth", 1.0)?,
+        late_worth: figure("late_worth", 0.0)?,
         repeat: match word(class.get("repeat")).as_str() {
             "idempotency_key" => Repeat::Keyed(scope),
             "non_idempotent" => Repeat::Unsafe,
             "read_like" | "" => Repeat::Safe,
-            other => return fault("classes.repeat", format!("unknown: {other:.40}")),
+            other => return fault(&at("repeat"), format!("unknown: {other:.40}")),
         },
-        memory_ns: figure("memory_span_ns", 0.0) as Nanos,
+        memory_ns: figure("memory_span_ns", 0.0)? as Nanos,
         pools: pools.filter_map(Value::as_u64).map(|p| p as u32).collect(),
     })
 }
--- a/crates/lilacpitch/src/wire.rs
+++ b/crates/lilacpitch/src/wire.rs
@@ -159,10 +159,10 @@
         Action::Cancel { call, attempt } => {
             writeln!(out, "ABANDON\tfront={front}\thandle={call}\thop={attempt}")
         }
-        Action::Refuse { call, come_back_ns: Some(wait) } => {
-            writeln!(out, "DECLINE\tfront={front}\thandle={call}\tcome_back_ns={wait}")
+        Action::Refuse { call, retry_after_ns: Some(wait) } => {
+            writeln!(out, "DECLINE\tfront={front}\thandle={call}\tretry_after_ns={wait}")
         }
-        Action::Refuse { call, come_back_ns: None } => {
+        Action::Refuse { call, retry_after_ns: None } => {
             writeln!(out, "DECLINE\tfront={front}\thandle={call}")
         }
         Action::Fail { call } => writeln!(out, "FAIL\tfront={front}\thandle={call}"),
--- a/crates/lilacpitch/tests/common/mod.rs
+++ b/crates/lilacpitch/tests/common/mod.rs
@@ -25,7 +25,7 @@
         release_ns: 250 * MS,
         max_attempts: 5,
         may_cancel: true,
-        max_come_back_ns: 2 * S,
+        max_retry_after_ns: 2 * S,
         list_on_request: false,
         cold_from: 0.3,
         cold_ns: 12 * S,
--- a/crates/lilacpitch/tests/fleet.rs
+++ b/crates/lilacpitch/tests/fleet.rs
@@ -98,7 +98,7 @@
                     let end = (front, call, attempt, server, Some(Outcome::CalledOff));
                     self.due.insert((self.now + 20 * MS, self.serial), end);
                 }
-                Action::Refuse { come_back_ns, .. } => self.come_back.extend(come_back_ns),
+                Action::Refuse { retry_after_ns, .. } => self.come_back.extend(retry_after_ns),
                 _ => {}
             }
         }
--- a/crates/lilacpitch/tests/mechanism.rs
+++ b/crates/lilacpitch/tests/mechanism.rs
@@ -183,7 +183,7 @@
         let (id, mut actions) = front.call(0);
         actions.extend(front.pass(2 * S));
         let wait = actions.iter().find_map(|a| match a {
-            Action::Refuse { call, come_back_ns } if *call == id => *come_back_ns,
+            Action::Refuse { call, retry_after_ns } if *call == id => *retry_after_ns,
             _ => None,
         });
         waits.push(wait.expect("refused, with a wait"));
--- a/crates/lilacpitch/tests/rules.rs
+++ b/crates/lilacpitch/tests/rules.rs
@@ -77,7 +77,7 @@
             s.home = home.then_some(2);
             s.resend_ns = resend * 300 * MS;
             s.max_attempts = attempts;
-            s.max_come_back_ns = if wait { S } else { 0 };
+            s.max_retry_after_ns = if wait { S } else { 0 };
             if pools {
                 s.classes[0].pools = vec![0, 1];
             }
