An end that overtakes its answer ends the call; a late answer is no sign of life

Two calls were followed by their ids through their nodes with a trace.

One: sent at 18.430, cause 16 at 19.390 ahead of its answer, which came at 27.090. links.rs told the module Cut, the call was set up again elsewhere and stood at 19.974: by then its first standing was over and untold. The protocol's 'as a reset' for causes before the answer was taken to the letter for an end that says that the call has come to its end. Now: the module hears Passed, closed; the caller that it failed, at once.

The other: its server vanished at about 7.4 s; an answer to a set-up that had been given up there came at 10.903, five seconds late, and passed for a sign of life, so that what stood there was released at 15.580, 8.2 s after its end. Now only what belongs to something that is out or stands, and figures, say that a server is there.

--- a/crates/lilacpitch-edge/tests/node/servers.rs
+++ b/crates/lilacpitch-edge/tests/node/servers.rs
@@ -62,6 +62,21 @@
     assert_eq!(caller.next().unwrap().body, "right");
 }
 
+#[test]
+fn a_call_whose_end_overtakes_its_answer_is_over_and_not_set_up_again() {
+    let (server, _node, mut caller) = Node::with_one_server();
+    caller.invite(&id(1), 0, 3_000);
+    let launch = server.next("launch");
+    // It stood there and has ended; its answer is late.
+    server.stop(launch.conn, &id(1), 16, json!({}));
+    let told = caller.next().unwrap();
+    assert!(told.status() >= Some(500) && launch.at.elapsed() < ms(1_000), "{told:?}");
+    server.answer(&launch, "late");
+    assert_eq!(caller.all_within(ms(700)), vec![], "one final answer");
+    assert!(server.all_within(ms(10)).iter().all(|line| line.kind() != "launch"), "not set up again");
+    server.stands(&mut caller, 2);
+}
+
 #[test]
 fn one_servers_trouble_does_not_delay_anothers_messages() {
     let (bad, good) = (Server::start(), Server::start());
--- a/crates/lilacpitch-node/src/core/links.rs
+++ b/crates/lilacpitch-node/src/core/links.rs
@@ -178,17 +178,26 @@
         if matches!(message, FromServer::Running { .. } | FromServer::Stop { .. }) {
             (link.mute, link.answered_ns) = (false, self.now);
         }
-        self.heard(server);
         match message {
             FromServer::Running { uid, body } => match self.out_here(uid, id) {
-                Some(call) => self.on_answer(call, id, body, effects),
+                Some(call) => {
+                    self.heard(server);
+                    self.on_answer(call, id, body, effects);
+                }
+                // It may have been on its way for as long as its set-up was given up: no sign of life of now.
                 None => self.on_stray_answer(id, server, uid, effects),
             },
             FromServer::Stop { uid, cause, note, waited_ns, load } => {
                 let report = self.report(&load);
                 if let Some(call) = self.out_here(uid, id) {
-                    self.end_attempt(call, refused(cause, &note, waited_ns), report);
+                    self.heard(server);
+                    if cause == crate::signal::CAUSE_NORMAL {
+                        self.ended_unanswered(call, report, effects);
+                    } else {
+                        self.end_attempt(call, refused(cause, &note, waited_ns), report);
+                    }
                 } else if let Some(call) = self.standing_at(uid, server) {
+                    self.heard(server);
                     self.released_by_server(call, cause, report, effects);
                 } else {
                     // The end of what was given up, or of what was told before.
@@ -199,10 +208,11 @@
                 }
             }
             FromServer::Usage(load) => {
+                self.heard(server);
                 let report = self.report(&load);
                 self.follow.push_back(Event::Reported { server, report });
             }
-            FromServer::Other => {}
+            FromServer::Other => self.heard(server),
         }
     }
 
--- a/crates/lilacpitch-node/src/core/standing.rs
+++ b/crates/lilacpitch-node/src/core/standing.rs
@@ -66,6 +66,14 @@
         self.settled(id, attempt.hop, attempt.server, outcome, true, report);
     }
 
+    /// The server's word that a call has come to its end, ahead of its answer: it stood there and is over, so that
+    /// its caller is told, and it is not set up again.
+    pub(super) fn ended_unanswered(&mut self, id: CallId, report: Report, effects: &mut Vec<Effect>) {
+        let Some(attempt) = self.take_attempt(id) else { return };
+        self.settled(id, attempt.hop, attempt.server, Outcome::Passed, true, report);
+        self.fail(id, effects);
+    }
+
     /// The caller's word that a call is over.
     pub(super) fn released_by_caller(&mut self, id: CallId, effects: &mut Vec<Effect>) {
         let Some((call, attempt)) = self.take_standing(id) else { return };
--- a/crates/lilacpitch-node/tests/ends.rs
+++ b/crates/lilacpitch-node/tests/ends.rs
@@ -149,6 +149,44 @@
     assert_eq!(lines(&effects), ["stop"]);
 }
 
+#[test]
+fn a_late_answer_is_no_sign_of_life_and_what_stands_there_is_released_in_time() {
+    let mut scene = Scene::new();
+    scene.caller(1);
+    let link = scene.stands(1, 1);
+    // One more is given up there; then the server is gone without a sign, and no connection comes up.
+    scene.feed(Input::CallerMessage(1, request("INVITE", 2)));
+    scene.feed(Input::CallerMessage(1, request("CANCEL", 2)));
+    let (from, mut released) = (scene.now, None);
+    let mut connecting = Vec::new();
+    while released.is_none() && scene.now < from + 20_000 * MS {
+        scene.now += 50 * MS;
+        let mut effects = scene.feed(Input::Timeout);
+        let due = |(at, _): &(u64, LinkId)| *at <= scene.now;
+        let (gone, waiting): (Vec<_>, Vec<_>) = connecting.into_iter().partition(due);
+        connecting = waiting;
+        for (_, link) in gone {
+            effects.extend(scene.feed(Input::LinkDown { link, written: 0, refused: false }));
+        }
+        if scene.now == from + 4_000 * MS {
+            // The answer to it was on its way for that long, on whatever connections there were.
+            for link in 1..=link + 4 {
+                let uid = format!("{:016x}", 2);
+                let line = json!({"kind": "running", "uid": uid, "meta": {}, "body": "late"});
+                effects.extend(scene.say(link, line));
+            }
+        }
+        for effect in &effects {
+            if let Effect::Connect(link, _) = effect {
+                connecting.push((scene.now + 500 * MS, *link));
+            }
+        }
+        released = released.or((!byes(&effects).is_empty()).then_some(scene.now - from));
+    }
+    let released_ms = released.expect("never released") / MS;
+    assert!(released_ms < 7_500, "owed within 8 s of its end: {released_ms} ms");
+}
+
 #[test]
 fn only_one_that_is_idle_is_evicted_and_nobody_twice() {
     let mut scene = Scene::new();
