The wire's own name for a told wait again; a test that raced the list

No test named it: one does now, and fails with the other name.

The node had released the first call for the death of its server before it had the news of the list, and the test's next call went to the former server, which the news then ended: right by what the node knew. The test now waits until the node asks for what comes after the news; all that it required it still requires.

--- a/crates/lilacpitch-edge/tests/node/servers.rs
+++ b/crates/lilacpitch-edge/tests/node/servers.rs
@@ -110,10 +110,17 @@
     server.stands(&mut caller, 1);
     server.die();
     let next = Server::on(TcpListener::bind(server.address).unwrap());
+    let asked = node.coordinator.asks();
     node.coordinator.tell(vec![
         target("s0", server.address, 0, "terminated", 0),
         target("s9", next.address, 0, "in_service", unix_ms()),
     ]);
+    // It has the news once it asks for what comes after them: a call made before would go to the former one.
+    let until = std::time::Instant::now() + SOON;
+    while node.coordinator.asks() == asked {
+        assert!(std::time::Instant::now() < until, "the news were not taken");
+        std::thread::sleep(ms(5));
+    }
     let bye = caller.next().unwrap();
     assert!(bye.is_bye() && bye.call() == id(1), "{bye:?}");
     // The new one is cold: its share adds up, so several calls are tried.
--- a/crates/lilacpitch/src/wire.rs
+++ b/crates/lilacpitch/src/wire.rs
@@ -160,7 +160,7 @@
             writeln!(out, "ABANDON\tfront={front}\thandle={call}\thop={attempt}")
         }
         Action::Refuse { call, retry_after_ns: Some(wait) } => {
-            writeln!(out, "DECLINE\tfront={front}\thandle={call}\tretry_after_ns={wait}")
+            writeln!(out, "DECLINE\tfront={front}\thandle={call}\tcome_back_ns={wait}")
         }
         Action::Refuse { call, retry_after_ns: None } => {
             writeln!(out, "DECLINE\tfront={front}\thandle={call}")
--- a/crates/lilacpitch/tests/wire.rs
+++ b/crates/lilacpitch/tests/wire.rs
@@ -50,6 +50,21 @@
     assert!(reply.ends_with("DONE\n"));
 }
 
+/// The names of a reply's fields are the wire's own, whatever the module calls what it decides.
+#[test]
+fn a_refusal_tells_its_wait_under_the_wires_own_name() {
+    let mut lines: Vec<_> =
+        start(3).iter().map(|line| line.replace("availability=1", "availability=2")).collect();
+    lines.push(ask(3, 900));
+    let mut all = batch(50_000_000_000, lines);
+    // Nobody takes it: once it was held for a while, it is turned away.
+    all.extend(batch(53_000_000_000, vec![ask(3, 901)]));
+    let reply = play(&all).unwrap();
+    let declined = reply.lines().find(|line| line.starts_with("DECLINE")).unwrap_or_default();
+    let wait = declined.strip_prefix("DECLINE\tfront=3\thandle=900\tcome_back_ns=");
+    assert!(wait.is_some_and(|ns| ns.parse::<u64>().is_ok_and(|ns| ns <= 2_000_000_000)), "{reply}");
+}
+
 #[test]
 fn every_event_and_outcome_is_taken() {
     let mut lines = batch(50_000_000_000, start(3));
