Keep callers that read connected, however much is sent to them at once

Cause: the driver took a caller for one that doesn't read once 32 KiB were queued for it, and checked this while it carried out all effects of one input, before the connection's task had run. 240 releases were enough, whatever the caller did; they then moved on to the next caller and cut it off too.

--- a/crates/lilacpitch-net/src/closing.rs
+++ b/crates/lilacpitch-net/src/closing.rs
@@ -5,6 +5,7 @@
 //! connections do so at a time.
 
 use crate::connection::READ_BYTES;
+use crate::outbox::FinalBytes;
 use std::cell::Cell;
 use std::io;
 use std::rc::Rc;
@@ -51,8 +52,8 @@
 pub struct ClosingConnection {
     pub(crate) stream: TcpStream,
     /// The bytes that are still to be written.
-    pub(crate) bytes: Vec<u8>,
-    /// Whether `bytes` are to be written; else the socket is closed at once.
+    pub(crate) unwritten: FinalBytes,
+    /// Whether `unwritten` is to be written; else the socket is closed at once.
     pub(crate) must_flush: bool,
 }
 
@@ -64,7 +65,7 @@
             return;
         }
         let Some(_slot) = quota.acquire() else {
-            let _ = self.stream.try_write(&self.bytes);
+            let _ = self.stream.try_write(&self.unwritten.bytes);
             while discard_input(&self.stream).is_ok_and(|count| count > 0) {}
             return;
         };
@@ -73,7 +74,7 @@
 
     /// Writes the remaining bytes, closes the sending side, and discards input until the peer closes.
     async fn flush(&mut self) -> io::Result<()> {
-        self.stream.write_all(&self.bytes).await?;
+        self.stream.write_all(&self.unwritten.bytes).await?;
         self.stream.shutdown().await?;
         while !matches!(discard_input(&self.stream), Ok(0)) {
             self.stream.readable().await?;
--- a/crates/lilacpitch-net/src/connection.rs
+++ b/crates/lilacpitch-net/src/connection.rs
@@ -6,7 +6,7 @@
 
 use crate::clock::Clock;
 use crate::closing::ClosingConnection;
-use crate::outbox::{CloseMode, Outbox};
+use crate::outbox::{CloseMode, FinalBytes, Outbox, WriteProgress};
 use std::io;
 use std::time::Duration;
 use thiserror::Error;
@@ -50,6 +50,9 @@
     Message(M),
     /// The outgoing message with this number was dropped unwritten because its deadline had passed.
     MessageDropped(u64),
+    /// The queue of outgoing messages is empty, as its owner had asked to be told. Counts as a message that
+    /// the owner has to process.
+    Drained,
 }
 
 /// Why a connection ended.
@@ -67,6 +70,9 @@
     /// The owner closed it, and all that had arrived is answered.
     #[error("closed after answers")]
     Finished,
+    /// The peer did not read for too long, and too much waits for it.
+    #[error("peer does not read")]
+    NotReading,
     /// The peer did not complete a message in time.
     #[error("read timeout: no complete message")]
     ReadTimeout,
@@ -100,6 +106,17 @@
     pub reason: EndReason<E>,
 }
 
+/// What happens to a peer that does not read what is sent to it.
+#[derive(Debug, Clone, Copy)]
+pub struct WriteLimits {
+    /// While more bytes than this wait to be written, nothing is read from the peer, so that it can't cause
+    /// more answers.
+    pub pause_reading_bytes: usize,
+    /// The connection ends if the peer accepts nothing for this long while more bytes wait, or while the owner
+    /// waits for [`ConnectionEvent::Drained`].
+    pub stall_timeout: Duration,
+}
+
 /// An open connection that has yet to be run.
 pub struct Connection<C> {
     /// The socket.
@@ -111,13 +128,17 @@
     /// How long the peer may take to complete its first message, and each later one that it has begun; `None`
     /// for no limit.
     pub read_timeout: Option<Duration>,
+    /// What happens if the peer does not read; `None` if it may stop reading for any time.
+    pub write_limits: Option<WriteLimits>,
     /// The messages to write, and how to close the connection.
     pub outbox: Outbox,
 }
 
-/// Whether the peer has closed the connection, and the callback for that.
+/// What is known of the peer, and the callback for its close.
 struct PeerState<F> {
     has_closed: bool,
+    /// Since when it has accepted nothing, if it has to accept something.
+    stalled_since: Option<Instant>,
     on_disconnect: F,
 }
 
@@ -153,7 +174,7 @@
         mut on_event: impl AsyncFnMut(ConnectionEvent<C::Message>) -> bool,
     ) -> (ConnectionEnd<C::Error>, ClosingConnection) {
         let _ = self.stream.set_nodelay(true);
-        let mut peer = PeerState { has_closed: false, on_disconnect };
+        let mut peer = PeerState { has_closed: false, stalled_since: None, on_disconnect };
         let reason = self.run_until_end(&mut peer, &mut on_event).await;
         if peer.has_closed {
             (peer.on_disconnect)();
@@ -202,9 +223,12 @@
         peer: &mut PeerState<impl Fn()>,
         on_event: &mut impl AsyncFnMut(ConnectionEvent<C::Message>) -> bool,
     ) -> Step<C::Error> {
-        let has_output = self.outbox.queued().messages > 0;
+        let queued = self.outbox.queued();
+        let has_output = queued.messages > 0;
+        let is_paused = self.write_limits.is_some_and(|limits| queued.bytes > limits.pause_reading_bytes);
+        let stall_deadline = self.stall_deadline(is_paused, peer);
         tokio::select! {
-            ready = self.stream.ready(Interest::READABLE) => {
+            ready = self.stream.ready(Interest::READABLE), if !is_paused => {
                 let read = ready.and_then(|ready| {
                     if ready.is_read_closed() {
                         peer.record_closed();
@@ -216,9 +240,17 @@
                     read => Step::Read(read),
                 }
             }
-            ready = self.stream.writable(), if has_output => self.write(ready, on_event).await,
+            ready = self.stream.writable(), if has_output => match self.write_queue(ready) {
+                Ok(progress) => {
+                    if progress.accepted_bytes > 0 {
+                        peer.stalled_since = None;
+                    }
+                    self.report_progress(progress, on_event).await
+                }
+                Err(reason) => Step::End(reason),
+            },
             () = self.outbox.changed() => Step::Continue,
-            () = sleep_until(read_deadline), if read_deadline.is_some() => {
+            () = sleep_until(read_deadline), if !is_paused && read_deadline.is_some() => {
                 // After a stall of this process, a message that arrived in time may still be unread.
                 tokio::task::yield_now().await;
                 match self.read() {
@@ -226,9 +258,29 @@
                     read => Step::Read(read),
                 }
             }
+            () = tokio::time::sleep(CLOSE_CHECK_INTERVAL), if is_paused && !peer.has_closed => {
+                if is_read_closed(&self.stream).await {
+                    peer.record_closed();
+                }
+                Step::Continue
+            }
+            () = sleep_until(stall_deadline), if stall_deadline.is_some() => {
+                Step::End(EndReason::NotReading)
+            }
         }
     }
 
+    /// Returns by when the peer must accept something, if too much waits for it, or if the owner waits until
+    /// the queue is empty.
+    fn stall_deadline(&self, is_paused: bool, peer: &mut PeerState<impl Fn()>) -> Option<Instant> {
+        let limits = self.write_limits.filter(|_| is_paused || self.outbox.is_empty_report_pending());
+        let Some(limits) = limits else {
+            peer.stalled_since = None;
+            return None;
+        };
+        Some(*peer.stalled_since.get_or_insert_with(Instant::now) + limits.stall_timeout)
+    }
+
     /// Reads what has arrived on a connection that is to be evicted, or ends the connection if nothing has.
     async fn step_to_eviction(
         &mut self,
@@ -355,24 +407,42 @@
         Ok(count)
     }
 
-    /// Writes as much as the socket accepts, and reports messages that were dropped.
+    /// Writes as much as the socket accepts, and reports what the owner has to know.
     async fn write(
         &self,
         ready: io::Result<()>,
         on_event: &mut impl AsyncFnMut(ConnectionEvent<C::Message>) -> bool,
     ) -> Step<C::Error> {
+        match self.write_queue(ready) {
+            Ok(progress) => self.report_progress(progress, on_event).await,
+            Err(reason) => Step::End(reason),
+        }
+    }
+
+    /// Writes as much as the socket accepts.
+    fn write_queue(&self, ready: io::Result<()>) -> Result<WriteProgress, EndReason<C::Error>> {
         let now = self.clock.now();
         let progress = ready.and_then(|()| self.outbox.write(now, |bytes| self.stream.try_write(bytes)));
-        match progress {
-            Ok(progress) if progress.is_partial_expired => Step::End(EndReason::PartialMessageExpired),
-            Ok(progress) => {
-                for number in progress.expired {
-                    on_event(ConnectionEvent::MessageDropped(number)).await;
-                }
-                Step::Continue
-            }
-            Err(error) => Step::End(EndReason::Write(error)),
+        let progress = progress.map_err(EndReason::Write)?;
+        if progress.is_partial_expired {
+            return Err(EndReason::PartialMessageExpired);
+        }
+        Ok(progress)
+    }
+
+    /// Reports messages that were dropped, and an empty queue if the owner has asked for it.
+    async fn report_progress(
+        &self,
+        progress: WriteProgress,
+        on_event: &mut impl AsyncFnMut(ConnectionEvent<C::Message>) -> bool,
+    ) -> Step<C::Error> {
+        for number in progress.expired {
+            on_event(ConnectionEvent::MessageDropped(number)).await;
+        }
+        if self.outbox.take_empty_report() {
+            on_event(ConnectionEvent::Drained).await;
         }
+        Step::Continue
     }
 
     /// Separates what is reported to the owner from the connection that still has to be closed.
@@ -382,14 +452,16 @@
         has_peer_closed: bool,
     ) -> (ConnectionEnd<C::Error>, ClosingConnection) {
         let outbox = &self.outbox;
-        let must_flush = !has_peer_closed && outbox.close_mode() != Some(CloseMode::Immediately);
+        let is_cut_off =
+            matches!(reason, EndReason::NotReading) || outbox.close_mode() == Some(CloseMode::Immediately);
+        let must_flush = !has_peer_closed && !is_cut_off;
         let written = outbox.written();
         // Messages that were queued before the end are still written, if the peer reads.
-        let mut bytes = if must_flush { outbox.take_final_bytes() } else { Vec::new() };
+        let mut unwritten = if must_flush { outbox.take_final_bytes() } else { FinalBytes::default() };
         if let EndReason::Malformed(error) = &reason {
-            bytes.extend(C::final_response(error).unwrap_or_default());
+            unwritten.bytes.extend(C::final_response(error).unwrap_or_default());
         }
-        (ConnectionEnd { written, reason }, ClosingConnection { stream: self.stream, bytes, must_flush })
+        (ConnectionEnd { written, reason }, ClosingConnection { stream: self.stream, unwritten, must_flush })
     }
 }
 
--- a/crates/lilacpitch-net/src/lib.rs
+++ b/crates/lilacpitch-net/src/lib.rs
@@ -10,13 +10,15 @@
 mod closing;
 mod connection;
 mod outbox;
+mod queued_bytes;
 mod stall;
 mod timers;
 
 pub use addresses::free_addresses;
 pub use clock::Clock;
 pub use closing::{ClosingConnection, DrainQuota};
-pub use connection::{Codec, Connection, ConnectionEnd, ConnectionEvent, EndReason};
+pub use connection::{Codec, Connection, ConnectionEnd, ConnectionEvent, EndReason, WriteLimits};
 pub use outbox::{CancelOutcome, CloseMode, Outbox, OutgoingMessage, QueueSize, WriteProgress};
+pub use queued_bytes::QueuedBytes;
 pub use stall::StallDetector;
 pub use timers::Timers;
--- a/crates/lilacpitch-net/src/outbox.rs
+++ b/crates/lilacpitch-net/src/outbox.rs
@@ -4,6 +4,7 @@
 //! The owner queues and cancels messages, and the connection's task writes them. Both run on one thread, so a
 //! message is always in exactly one of three states: unwritten, partly written or completely written.
 
+use crate::queued_bytes::{Charge, QueuedBytes};
 use lilacpitch::interface::Nanos;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -61,19 +62,29 @@
 /// The result of one call of [`Outbox::write`].
 #[derive(Debug, Default)]
 pub struct WriteProgress {
+    /// Number of bytes that the socket accepted.
+    pub accepted_bytes: usize,
     /// Numbers of the messages that were dropped unwritten because their deadline had passed.
     pub expired: Vec<u64>,
     /// Whether the deadline of a partly written message has passed, so that it must not be completed.
     pub is_partial_expired: bool,
 }
 
+/// The last bytes for the peer of a connection that is closing.
+#[derive(Debug, Default)]
+pub(crate) struct FinalBytes {
+    pub(crate) bytes: Vec<u8>,
+    /// Keeps the bytes in the sum of their group.
+    _charge: Charge,
+}
+
 #[derive(Debug, Default)]
 struct State {
     queue: VecDeque<OutgoingMessage>,
     /// Number of bytes of the first message that are written.
     first_written_bytes: usize,
     /// Size of all messages in the queue, in bytes.
-    queued_bytes: usize,
+    queued_bytes: Charge,
     /// One more than the number of the last message that was written at least in part.
     written: u64,
     close_mode: Option<CloseMode>,
@@ -86,18 +97,27 @@
 #[derive(Debug, Default)]
 struct Shared {
     state: RefCell<State>,
-    /// Number of messages read from the connection that its owner has not processed.
+    /// Number of messages read from the connection, and of reports of an empty queue, that its owner has not
+    /// processed.
     unprocessed: Cell<usize>,
+    /// Whether the owner is to be told when the queue is empty.
+    must_report_empty: Cell<bool>,
     /// Notified when a message is queued, the close mode is set, or a closing connection has processed a
     /// message.
     changed: Notify,
 }
 
 impl Outbox {
+    /// Creates an empty queue whose bytes are counted in the sum of a group.
+    pub fn counted_in(total: &QueuedBytes) -> Outbox {
+        let state = State { queued_bytes: total.charge(), ..State::default() };
+        Outbox(Rc::new(Shared { state: RefCell::new(state), ..Shared::default() }))
+    }
+
     /// Queues a message.
     pub fn push(&self, message: OutgoingMessage) {
         let mut state = self.0.state.borrow_mut();
-        state.queued_bytes += message.bytes.len();
+        state.queued_bytes.add(message.bytes.len());
         state.queue.push_back(message);
         self.0.changed.notify_one();
     }
@@ -105,7 +125,7 @@
     /// Returns the size of the queue.
     pub fn queued(&self) -> QueueSize {
         let state = self.0.state.borrow();
-        QueueSize { messages: state.queue.len(), bytes: state.queued_bytes - state.first_written_bytes }
+        QueueSize { messages: state.queue.len(), bytes: state.queued_bytes.get() - state.first_written_bytes }
     }
 
     /// Cancels a message, unless some of it is written.
@@ -118,7 +138,7 @@
             return CancelOutcome::PartlyWritten;
         }
         if let Some(message) = state.queue.remove(index) {
-            state.queued_bytes -= message.bytes.len();
+            state.queued_bytes.remove(message.bytes.len());
         }
         CancelOutcome::Removed
     }
@@ -162,7 +182,29 @@
         }
     }
 
-    /// Returns the number of messages read from the connection that the owner has not processed.
+    /// Requests one [`Drained`](crate::ConnectionEvent::Drained) event once all messages queued so far, and
+    /// any that follow them, are written.
+    pub fn report_when_empty(&self) {
+        self.0.must_report_empty.set(true);
+    }
+
+    /// Whether an empty queue is to be reported and has not been.
+    pub(crate) fn is_empty_report_pending(&self) -> bool {
+        self.0.must_report_empty.get()
+    }
+
+    /// Returns whether an empty queue is to be reported now, and counts the report as unprocessed.
+    pub(crate) fn take_empty_report(&self) -> bool {
+        let is_due = self.0.must_report_empty.get() && self.0.state.borrow().queue.is_empty();
+        if is_due {
+            self.0.must_report_empty.set(false);
+            self.record_received();
+        }
+        is_due
+    }
+
+    /// Returns the number of messages read from the connection, and of reports of an empty queue, that the
+    /// owner has not processed.
     pub fn unprocessed(&self) -> usize {
         self.0.unprocessed.get()
     }
@@ -180,19 +222,20 @@
         let is_expired =
             |message: &OutgoingMessage| message.not_after_ns.is_some_and(|deadline| now > deadline);
         if state.first_written_bytes > 0 && state.queue.front().is_some_and(is_expired) {
-            return Ok(WriteProgress { expired: Vec::new(), is_partial_expired: true });
+            return Ok(WriteProgress { is_partial_expired: true, ..WriteProgress::default() });
         }
         let expired = state.remove_expired(is_expired);
         let buffer = state.write_buffer();
+        let mut accepted_bytes = 0;
         if buffer.len() > state.first_written_bytes {
-            let count = match write(&buffer[state.first_written_bytes..]) {
+            accepted_bytes = match write(&buffer[state.first_written_bytes..]) {
                 Ok(count) => count,
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => 0,
                 Err(e) => return Err(e),
             };
-            state.remove_written(count);
+            state.remove_written(accepted_bytes);
         }
-        Ok(WriteProgress { expired, is_partial_expired: false })
+        Ok(WriteProgress { accepted_bytes, expired, is_partial_expired: false })
     }
 
     /// Returns how many of the connection's messages are written, at least in part.
@@ -202,24 +245,26 @@
 
     /// Empties the queue and returns what may still be written while the connection closes: the remainder of
     /// a partly written message, and messages without a deadline. A message with a deadline is never
-    /// completed, so nothing can follow one that is partly written.
-    pub fn take_final_bytes(&self) -> Vec<u8> {
+    /// completed, so nothing can follow one that is partly written. They stay counted while they are held.
+    pub(crate) fn take_final_bytes(&self) -> FinalBytes {
         let mut state = self.0.state.borrow_mut();
         let first_written_bytes = std::mem::take(&mut state.first_written_bytes);
         let queue = std::mem::take(&mut state.queue);
-        state.queued_bytes = 0;
+        let charge = state.queued_bytes.take();
         if first_written_bytes > 0 && queue.front().is_some_and(|first| first.not_after_ns.is_some()) {
-            return Vec::new();
+            return FinalBytes::default();
         }
         let without_deadline = queue.into_iter().filter(|message| message.not_after_ns.is_none());
-        without_deadline.flat_map(|message| message.bytes).skip(first_written_bytes).collect()
+        let bytes = without_deadline.flat_map(|message| message.bytes).skip(first_written_bytes).collect();
+        FinalBytes { bytes, _charge: charge }
     }
 
     /// Empties the queue and returns the messages that are not completely written.
-    pub fn take_unwritten(&self) -> Vec<Vec<u8>> {
+    pub fn take_unwritten(&self) -> Vec<OutgoingMessage> {
         let mut state = self.0.state.borrow_mut();
-        (state.first_written_bytes, state.queued_bytes) = (0, 0);
-        std::mem::take(&mut state.queue).into_iter().map(|message| message.bytes).collect()
+        state.first_written_bytes = 0;
+        state.queued_bytes.set(0);
+        std::mem::take(&mut state.queue).into()
     }
 }
 
@@ -232,7 +277,9 @@
             expired.extend(is_dropped.then_some(message.number));
             !is_dropped
         });
-        self.queued_bytes = self.queue.iter().map(|message| message.bytes.len()).sum();
+        if !expired.is_empty() {
+            self.queued_bytes.set(self.queue.iter().map(|message| message.bytes.len()).sum());
+        }
         expired
     }
 
@@ -260,7 +307,7 @@
             }
             count -= remaining;
             self.first_written_bytes = 0;
-            self.queued_bytes -= self.queue.pop_front().map_or(0, |message| message.bytes.len());
+            self.queued_bytes.remove(self.queue.pop_front().map_or(0, |message| message.bytes.len()));
         }
     }
 }
--- a/crates/lilacpitch-node/src/config.rs
+++ b/crates/lilacpitch-node/src/config.rs
@@ -78,6 +78,8 @@
     pub draining: usize,
     /// Connections to servers, beyond the first one to each.
     pub upstreams: usize,
+    /// Bytes that may wait to be written to all callers together.
+    pub caller_output_bytes: usize,
 }
 
 /// Descriptors reserved for the runtime, the listener, the coordinator's connection and spare ones.
@@ -94,15 +96,25 @@
 /// the memory limit.
 const KIB_PER_CALLER: u64 = 32;
 
+/// One in this many bytes of the memory limit is for what waits to be written to callers.
+const CALLER_OUTPUT_FRACTION: usize = 8;
+
 impl Limits {
-    /// Divides the descriptors among the kinds of connections.
+    /// Returns the memory limit in bytes; the largest number if there is none.
+    fn memory_bytes(&self) -> usize {
+        let bytes = self.memory_mb.map_or(u64::MAX, |mb| mb.saturating_mul(1024 * 1024));
+        usize::try_from(bytes).unwrap_or(usize::MAX)
+    }
+
+    /// Divides the descriptors and the memory among their uses.
     pub fn budget(&self) -> Budget {
         let upstreams = self.sockets / UPSTREAM_FRACTION;
         let remaining = self.sockets.saturating_sub(upstreams).saturating_sub(RESERVED_SOCKETS);
         let draining = remaining / DRAINING_FRACTION;
         let memory_bound = self.memory_mb.map_or(u64::MAX, |mb| mb.saturating_mul(1024) / 2 / KIB_PER_CALLER);
         let callers = (remaining - draining).min(usize::try_from(memory_bound).unwrap_or(usize::MAX));
-        Budget { callers, draining, upstreams }
+        let caller_output_bytes = self.memory_bytes() / CALLER_OUTPUT_FRACTION;
+        Budget { callers, draining, upstreams, caller_output_bytes }
     }
 
     /// Checks the lower bounds. An error consists of the field's path and the problem.
--- a/crates/lilacpitch-node/src/core/active_calls.rs
+++ b/crates/lilacpitch-node/src/core/active_calls.rs
@@ -3,13 +3,11 @@
 
 use super::health_checks::UNREACHABLE_NS;
 use super::records::{Attempt, AttemptState, Call, PendingRelease};
+use super::releases::Release;
 use super::{CallerId, Effect, NodeCore};
 use crate::signalling::{self, CAUSE_CUT, CAUSE_NORMAL};
 use lilacpitch::interface::{CallId, LoadReport, Outcome, ServerId};
-use lilacpitch_sip::Request;
 
-/// Most releases that wait for a caller's connection; with more, the oldest is dropped.
-const MAX_UNSENT_RELEASES: usize = 4096;
 /// Placeholder for the connection of an adopted call's set-up, which was another node's.
 const NO_UPSTREAM: super::UpstreamId = 0;
 
@@ -24,13 +22,13 @@
         effects: &mut Vec<Effect>,
     ) {
         self.callers.entry(caller).and_modify(|caller| caller.is_verified = true);
-        self.flush_unsent_releases(caller, effects);
+        self.send_waiting_releases(caller, effects);
         if self.calls_by_wire_id.contains_key(&wire_id) {
             return;
         }
         let Some(server) = server else {
             // The server was never listed, or is removed, so the call is over.
-            self.release_to_caller(caller, wire_id, CAUSE_CUT, effects);
+            self.release_to_caller(caller, Release { wire_id, cause: CAUSE_CUT }, effects);
             return;
         };
         let id = self.next_call;
@@ -65,7 +63,7 @@
     ) {
         let outcome = if cause == CAUSE_NORMAL { Outcome::Completed } else { Outcome::Cut };
         let Some((call, attempt)) = self.remove_active_call(id) else { return };
-        self.release_to_caller(call.caller, call.wire_id, cause, effects);
+        self.release_to_caller(call.caller, Release { wire_id: call.wire_id, cause }, effects);
         self.record_outcome(attempt.id(id), outcome, true, report);
     }
 
@@ -151,45 +149,4 @@
             self.upstreams.entry(id).and_modify(|upstream| upstream.releases.append(&mut releases));
         }
     }
-
-    /// Handles a message that was not written on its caller's connection: a release is sent on another
-    /// caller's.
-    pub(super) fn redeliver_release(&mut self, bytes: Vec<u8>, effects: &mut Vec<Effect>) {
-        if bytes.starts_with(b"BYE ") {
-            self.send_release(None, bytes, effects);
-        }
-    }
-
-    /// Sends a caller a release, on the connection of the set-up or else on another caller's, the next one if
-    /// there is none.
-    fn release_to_caller(&mut self, caller: CallerId, wire_id: u64, cause: u16, effects: &mut Vec<Effect>) {
-        self.send_release(Some(caller), Request::encode_bye(&format!("{wire_id:016x}"), cause), effects);
-    }
-
-    /// Sends a release on a caller's connection if it is open, else on that of the newest verified caller. If
-    /// there is none, the release waits for the next one.
-    fn send_release(&mut self, caller: Option<CallerId>, bytes: Vec<u8>, effects: &mut Vec<Effect>) {
-        let is_connected = |id: &CallerId| self.callers.get(id).is_some_and(|caller| !caller.is_disconnected);
-        let newest_verified = || {
-            let mut newest_first = self.callers.iter().rev();
-            let found = newest_first.find(|(_, caller)| caller.is_verified && !caller.is_disconnected);
-            found.map(|(id, _)| *id)
-        };
-        match caller.filter(is_connected).or_else(newest_verified) {
-            Some(caller) => effects.push(Effect::ToCaller(caller, bytes)),
-            None => {
-                self.unsent_releases.push_back(bytes);
-                if self.unsent_releases.len() > MAX_UNSENT_RELEASES {
-                    self.unsent_releases.pop_front();
-                }
-            }
-        }
-    }
-
-    /// Sends a verified caller the releases that were waiting for a connection.
-    pub(super) fn flush_unsent_releases(&mut self, caller: CallerId, effects: &mut Vec<Effect>) {
-        if self.callers.get(&caller).is_some_and(|caller| !caller.is_disconnected) {
-            effects.extend(self.unsent_releases.drain(..).map(|bytes| Effect::ToCaller(caller, bytes)));
-        }
-    }
 }
--- a/crates/lilacpitch-node/src/core/callers.rs
+++ b/crates/lilacpitch-node/src/core/callers.rs
@@ -95,7 +95,7 @@
         }
         self.check_admission(wire_id)?;
         self.admit_call(caller, setup);
-        self.flush_unsent_releases(caller, effects);
+        self.send_waiting_releases(caller, effects);
         Ok(())
     }
 
@@ -159,6 +159,7 @@
         let has_attempt = |call: &CallId| self.calls.get(call).is_some_and(|call| call.attempt.is_some());
         let (attempted, queued): (Vec<_>, Vec<_>) = open_calls.into_iter().partition(has_attempt);
         queued.into_iter().chain(attempted).for_each(|call| self.abandon_call(call, effects));
+        self.reassign_releases(id, effects);
     }
 
     pub(super) fn handle_caller_closed(&mut self, id: CallerId, effects: &mut Vec<Effect>) {
--- a/crates/lilacpitch-node/src/core/mod.rs
+++ b/crates/lilacpitch-node/src/core/mod.rs
@@ -17,11 +17,13 @@
 mod health_checks;
 mod path;
 mod records;
+mod releases;
 mod server_messages;
 mod timers;
 mod upstreams;
 
 pub use counters::{CallCounts, ConnectionCounts, Counters};
+pub use releases::Release;
 
 use crate::coordinator::Endpoints;
 use crate::signalling::ServerMessage;
@@ -31,6 +33,7 @@
 use lilacpitch_net::{StallDetector, Timers};
 use lilacpitch_sip::Message;
 use records::{Call, Caller, Server, UpstreamConnection};
+use releases::WaitingReleases;
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use timers::Timer;
@@ -51,8 +54,10 @@
     CallerDisconnected(CallerId),
     /// A caller's connection has ended, and no message follows.
     CallerClosed(CallerId),
-    /// A message to a caller was not completely written when the caller's connection ended.
-    CallerMessageUndelivered(Vec<u8>),
+    /// All messages given to a caller's connection are written, at least one release among them.
+    CallerDrained(CallerId),
+    /// A release was not completely written when its caller's connection ended.
+    ReleaseUndelivered(Release),
     /// A connection to a server is up.
     UpstreamConnected(UpstreamId),
     /// A server sent a message.
@@ -90,6 +95,9 @@
 pub enum Effect {
     /// Send a caller a message.
     ToCaller(CallerId, Vec<u8>),
+    /// Send a caller a release. Followed by [`Input::CallerDrained`], or, if the connection ends first, by
+    /// [`Input::CallerClosed`] and [`Input::ReleaseUndelivered`].
+    Release(CallerId, Release),
     /// Close a caller's connection, unless a message has arrived on it. Followed by [`Input::CallerClosed`]
     /// or [`Input::EvictionDeclined`].
     EvictCaller(CallerId),
@@ -146,8 +154,7 @@
     next_call: CallId,
     next_server: ServerId,
     next_upstream: UpstreamId,
-    /// Releases to callers that wait for a caller's connection, oldest first.
-    unsent_releases: VecDeque<Vec<u8>>,
+    waiting_releases: WaitingReleases,
     /// Wire ids of ended calls that a server has had, and until when their ends may still arrive from it.
     retired_wire_ids: BTreeMap<u64, Nanos>,
     /// Events that the controller has yet to handle, among them those caused by its own actions.
@@ -188,7 +195,7 @@
             next_call: 1,
             next_server: 1,
             next_upstream: 1,
-            unsent_releases: VecDeque::new(),
+            waiting_releases: WaitingReleases::default(),
             retired_wire_ids: BTreeMap::new(),
             pending_events: VecDeque::new(),
             actions: Vec::new(),
@@ -223,7 +230,8 @@
             Input::CallerMessage(caller, message) => self.handle_caller_message(caller, message, effects),
             Input::CallerDisconnected(caller) => self.handle_caller_disconnected(caller, effects),
             Input::CallerClosed(caller) => self.handle_caller_closed(caller, effects),
-            Input::CallerMessageUndelivered(bytes) => self.redeliver_release(bytes, effects),
+            Input::CallerDrained(caller) => self.handle_caller_drained(caller, effects),
+            Input::ReleaseUndelivered(release) => self.release_to_any_caller(release, effects),
             Input::UpstreamConnected(upstream) => self.handle_upstream_connected(upstream, effects),
             Input::UpstreamMessage(upstream, message) => {
                 self.handle_server_message(upstream, message, effects);
@@ -280,7 +288,7 @@
             ("upstream connections", self.upstreams.len()),
             ("cancelled set-ups", self.upstreams.values().map(|upstream| upstream.cancelled.len()).sum()),
             ("timers", self.timers.len()),
-            ("unsent releases", self.unsent_releases.len()),
+            ("waiting releases", self.waiting_releases.len()),
             ("retired wire ids", self.retired_wire_ids.len()),
             ("releases to servers", self.upstreams.values().map(|upstream| upstream.releases.len()).sum()),
         ];
--- a/crates/lilacpitch-node/src/core/records.rs
+++ b/crates/lilacpitch-node/src/core/records.rs
@@ -18,6 +18,8 @@
     pub is_evicting: bool,
     /// Whether it has closed its connection. Set-ups that still arrive from it are discarded.
     pub is_disconnected: bool,
+    /// Number of releases given to its connection that are not known to be written.
+    pub unwritten_releases: usize,
 }
 
 impl Caller {
@@ -29,6 +31,7 @@
             is_verified: false,
             is_evicting: false,
             is_disconnected: false,
+            unwritten_releases: 0,
         }
     }
 }
--- a/crates/lilacpitch-node/src/net/connections.rs
+++ b/crates/lilacpitch-node/src/net/connections.rs
@@ -5,8 +5,13 @@
 
 use super::codecs::{LineCodec, SipCodec};
 use super::driver_event::{DriverEvent, MalformedMessage};
+use crate::core::Release;
 use crate::core::{CallerId, Input, UpstreamId};
-use lilacpitch_net::{Clock, ClosingConnection, Connection, ConnectionEvent, DrainQuota, EndReason, Outbox};
+use lilacpitch_net::{
+    Clock, ClosingConnection, Connection, ConnectionEvent, DrainQuota, EndReason, Outbox, OutgoingMessage,
+    QueuedBytes, WriteLimits,
+};
+use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -18,6 +23,10 @@
 /// How long a caller may take to complete its first message, and each later one that it has begun. The
 /// platform's page on bad clients requires that a silent caller is closed within 3 s.
 const READ_TIMEOUT: Duration = Duration::from_millis(2000);
+/// What happens to a caller that does not read. A release has to be sent within 1 s, on another connection if
+/// the caller's own accepts none.
+const WRITE_LIMITS: WriteLimits =
+    WriteLimits { pause_reading_bytes: 32 * 1024, stall_timeout: Duration::from_millis(800) };
 /// Send buffer of a connection to a server. It is small because messages in the kernel's buffer can't be
 /// cancelled.
 const UPSTREAM_SEND_BUFFER_BYTES: u32 = 32 * 1024;
@@ -30,6 +39,46 @@
     pub task: AbortHandle,
 }
 
+/// The driver's end of a caller's connection.
+pub(super) struct CallerHandle {
+    /// The connection.
+    pub connection: ConnectionHandle,
+    /// Number of the next message for the caller.
+    next_message: u64,
+    /// Releases that may not be completely written, with the numbers of their messages, oldest first.
+    releases: VecDeque<(u64, Release)>,
+}
+
+impl CallerHandle {
+    /// Queues a response.
+    pub(super) fn push_response(&mut self, bytes: Vec<u8>) {
+        let number = self.next_message;
+        self.next_message += 1;
+        self.connection.outbox.push(OutgoingMessage { number, bytes, not_after_ns: None });
+    }
+
+    /// Queues a release, and has the connection report when it is written.
+    pub(super) fn push_release(&mut self, release: Release) {
+        let outbox = &self.connection.outbox;
+        // The last message counted as written may be written in part only.
+        let written = outbox.written().saturating_sub(1);
+        while self.releases.front().is_some_and(|(number, _)| *number < written) {
+            self.releases.pop_front();
+        }
+        self.releases.push_back((self.next_message, release));
+        self.push_response(release.encode());
+        self.connection.outbox.report_when_empty();
+    }
+
+    /// Discards the queue, and returns the releases that were not completely written.
+    pub(super) fn take_undelivered(&mut self) -> Vec<Release> {
+        let unwritten = self.connection.outbox.take_unwritten();
+        let first = unwritten.first().map_or(u64::MAX, |message| message.number);
+        let undelivered = self.releases.drain(..).filter(|(number, _)| *number >= first);
+        undelivered.map(|(_, release)| release).collect()
+    }
+}
+
 /// What the task of every connection needs.
 #[derive(Clone)]
 pub(super) struct ConnectionContext {
@@ -37,6 +86,8 @@
     pub events: mpsc::Sender<DriverEvent>,
     /// Reports callers that have closed their connection, ahead of the messages that they sent before.
     pub disconnects: mpsc::UnboundedSender<CallerId>,
+    /// Counts the bytes that are queued for callers.
+    pub caller_output: QueuedBytes,
     /// Limits the number of closed connections that are draining.
     pub drain_quota: Rc<DrainQuota>,
     /// The node's clock.
@@ -47,17 +98,19 @@
 
 impl ConnectionContext {
     /// Starts the task of a caller's connection.
-    pub(super) fn spawn_caller(&self, caller: CallerId, stream: TcpStream) -> ConnectionHandle {
-        let outbox = Outbox::default();
+    pub(super) fn spawn_caller(&self, caller: CallerId, stream: TcpStream) -> CallerHandle {
+        let outbox = Outbox::counted_in(&self.caller_output);
         let connection = Connection {
             stream,
             codec: SipCodec::default(),
             clock: self.clock,
             read_timeout: Some(READ_TIMEOUT),
+            write_limits: Some(WRITE_LIMITS),
             outbox: outbox.clone(),
         };
         let task = tokio::task::spawn_local(self.clone().run_caller(caller, connection));
-        ConnectionHandle { outbox, task: task.abort_handle() }
+        let connection = ConnectionHandle { outbox, task: task.abort_handle() };
+        CallerHandle { connection, next_message: 0, releases: VecDeque::new() }
     }
 
     /// Starts the task that connects to a server and runs the connection.
@@ -71,6 +124,7 @@
     async fn run_caller(self, caller: CallerId, connection: Connection<SipCodec>) {
         let on_event = async |event| match event {
             ConnectionEvent::Message(message) => self.send(Input::CallerMessage(caller, message)).await,
+            ConnectionEvent::Drained => self.send(Input::CallerDrained(caller)).await,
             ConnectionEvent::MessageDropped(_) => true,
         };
         let (end, closing) = connection.run(|| _ = self.disconnects.send(caller), on_event).await;
@@ -123,11 +177,12 @@
             self.send(match event {
                 ConnectionEvent::Message(message) => Input::UpstreamMessage(upstream, message),
                 ConnectionEvent::MessageDropped(message) => Input::MessageDropped { upstream, message },
+                ConnectionEvent::Drained => return true,
             })
             .await
         };
         let (codec, clock) = (LineCodec::default(), self.clock);
-        let connection = Connection { stream, codec, clock, read_timeout: None, outbox };
+        let connection = Connection { stream, codec, clock, read_timeout: None, write_limits: None, outbox };
         let (end, closing) = connection.run(|| (), on_event).await;
         tracing::debug!(upstream, %address, reason = %end.reason, "upstream connection closed");
         if let EndReason::Malformed(error) = end.reason {
--- a/crates/lilacpitch-node/src/net/driver.rs
+++ b/crates/lilacpitch-node/src/net/driver.rs
@@ -1,13 +1,13 @@
 //! The driver: the task that owns the core, feeds it inputs and carries out its effects.
 
-use super::connections::{ConnectionContext, ConnectionHandle};
+use super::connections::{CallerHandle, ConnectionContext, ConnectionHandle};
 use super::counters::log_counters;
 use super::driver_event::{DriverEvent, MalformedMessage};
 use super::signals::{Command, Signals};
 use crate::config::{Budget, Config};
 use crate::core::{CallerId, Effect, Input, NodeCore, UpstreamId};
 use lilacpitch::settings::Site;
-use lilacpitch_net::{CancelOutcome, Clock, CloseMode, DrainQuota, OutgoingMessage};
+use lilacpitch_net::{CancelOutcome, Clock, CloseMode, DrainQuota, OutgoingMessage, QueuedBytes};
 use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::SocketAddr;
@@ -19,10 +19,10 @@
 
 /// Most events handled before timers, signals and new connections are checked again.
 const EVENTS_PER_ROUND: usize = 32;
-/// Most messages that wait to be written on one connection.
+/// Most messages that wait to be written on one connection to a server.
 const MAX_QUEUED_MESSAGES: usize = 512;
-/// Most bytes that wait for a caller that does not read.
-const MAX_QUEUED_BYTES: usize = 32 * 1024;
+/// How often the tasks of connections may run before callers are disconnected because too much waits for them.
+const YIELDS_BEFORE_DISCONNECT: usize = 16;
 /// One in this many slots for callers is kept free, so that new callers don't wait for an eviction.
 const SPARE_SLOT_FRACTION: usize = 16;
 /// How often the counters are logged.
@@ -33,7 +33,7 @@
 /// Owns the core and the driver's ends of all connections.
 pub(super) struct Driver {
     pub(super) core: NodeCore,
-    pub(super) callers: BTreeMap<CallerId, ConnectionHandle>,
+    pub(super) callers: BTreeMap<CallerId, CallerHandle>,
     pub(super) upstreams: BTreeMap<UpstreamId, ConnectionHandle>,
     /// When the first request to stop arrived.
     pub(super) stop_requested_at: Option<Instant>,
@@ -44,6 +44,8 @@
     /// Callers whose eviction is in progress, which a message from them cancels.
     evicting: BTreeSet<CallerId>,
     max_callers: usize,
+    /// Most bytes that may wait for all callers together.
+    max_caller_output: usize,
     next_caller: CallerId,
     /// Buffer for the effects of one input.
     effects: Vec<Effect>,
@@ -81,6 +83,7 @@
         let context = ConnectionContext {
             events,
             disconnects: disconnect_sender,
+            caller_output: QueuedBytes::default(),
             drain_quota: Rc::new(DrainQuota::new(budget.draining)),
             clock,
             connect_timeout: Duration::from_nanos(site.connect_timeout_ns),
@@ -94,6 +97,7 @@
             disconnects,
             evicting: BTreeSet::new(),
             max_callers: budget.callers,
+            max_caller_output: budget.caller_output_bytes,
             next_caller: 1,
             effects: Vec::new(),
             malformed: BTreeMap::new(),
@@ -112,13 +116,17 @@
         let mut batch = Vec::new();
         let mut counters = tokio::time::interval(COUNTERS_INTERVAL);
         while !self.is_stopped {
+            self.limit_caller_output().await;
             self.feed_disconnects();
             self.keep_spare_slots();
             let due = self.core.next_timeout().map(|due| self.context.clock.instant(due));
             tokio::select! {
                 count = inbox.recv_many(&mut batch, EVENTS_PER_ROUND) => {
                     debug_assert!(count > 0, "channel closed, though the driver holds a sender");
-                    batch.drain(..).for_each(|event| self.handle_event(event));
+                    for event in batch.drain(..) {
+                        self.handle_event(event);
+                        self.limit_caller_output().await;
+                    }
                 }
                 Some(caller) = self.disconnects.recv() => self.feed(Input::CallerDisconnected(caller)),
                 accepted = accept(Some(&listener)), if self.has_caller_capacity() => match accepted {
@@ -166,22 +174,28 @@
         let mut undelivered = Vec::new();
         match &input {
             Input::CallerMessage(caller, _) => {
-                if let Some(connection) = self.callers.get(caller) {
+                if let Some(CallerHandle { connection, .. }) = self.callers.get(caller) {
                     connection.outbox.record_processed();
                     connection.outbox.cancel_eviction();
                     self.evicting.remove(caller);
                 }
             }
+            Input::CallerDrained(caller) => {
+                self.callers
+                    .get(caller)
+                    .iter()
+                    .for_each(|caller| caller.connection.outbox.record_processed());
+            }
             Input::CallerClosed(caller) => {
                 self.evicting.remove(caller);
                 let closed = self.callers.remove(caller);
-                undelivered = closed.map_or(undelivered, |connection| connection.outbox.take_unwritten());
+                undelivered = closed.map_or(undelivered, |mut caller| caller.take_undelivered());
             }
             Input::UpstreamClosed { upstream, .. } => drop(self.upstreams.remove(upstream)),
             _ => {}
         }
         self.feed(input);
-        undelivered.into_iter().for_each(|bytes| self.feed(Input::CallerMessageUndelivered(bytes)));
+        undelivered.into_iter().for_each(|release| self.feed(Input::ReleaseUndelivered(release)));
     }
 
     /// Counts a malformed message, and logs the first one of its kind.
@@ -232,7 +246,12 @@
 
     fn carry_out(&mut self, effect: Effect) {
         match effect {
-            Effect::ToCaller(caller, bytes) => self.send_to_caller(caller, bytes),
+            Effect::ToCaller(caller, bytes) => {
+                self.callers.entry(caller).and_modify(|caller| caller.push_response(bytes));
+            }
+            Effect::Release(caller, release) => {
+                self.callers.entry(caller).and_modify(|caller| caller.push_release(release));
+            }
             Effect::EvictCaller(caller) => self.evict_caller(caller),
             Effect::ToServer { upstream, message, bytes, not_after_ns } => {
                 self.send_to_server(upstream, OutgoingMessage { number: message, bytes, not_after_ns });
@@ -253,23 +272,31 @@
         }
     }
 
-    fn send_to_caller(&self, caller: CallerId, bytes: Vec<u8>) {
-        let Some(connection) = self.callers.get(&caller) else { return };
-        let outbox = &connection.outbox;
-        outbox.push(OutgoingMessage { number: 0, bytes, not_after_ns: None });
-        let queued = outbox.queued();
-        if queued.messages > MAX_QUEUED_MESSAGES || queued.bytes > MAX_QUEUED_BYTES {
-            // The caller does not read, so it is disconnected rather than slowing down others.
-            if outbox.close_mode() != Some(CloseMode::Immediately) {
-                tracing::info!(caller, "caller disconnected, not reading");
+    /// Keeps the bytes that wait for callers within their limit: first lets the connections write, and then
+    /// disconnects the caller for which most waits, until the limit is kept.
+    pub(super) async fn limit_caller_output(&mut self) {
+        for _ in 0..YIELDS_BEFORE_DISCONNECT {
+            if self.context.caller_output.get() <= self.max_caller_output {
+                return;
+            }
+            tokio::task::yield_now().await;
+        }
+        while self.context.caller_output.get() > self.max_caller_output {
+            let queued = |caller: &CallerHandle| caller.connection.outbox.queued().bytes;
+            let longest = self.callers.iter_mut().max_by_key(|(_, caller)| queued(caller));
+            // What is left waits on connections that are closing, which end within a short time.
+            let Some((id, caller)) = longest.filter(|(_, caller)| queued(caller) > 0) else { return };
+            tracing::info!(caller = id, "caller disconnected, too much waits for all callers");
+            caller.connection.outbox.close(CloseMode::Immediately);
+            for release in caller.take_undelivered() {
+                self.feed(Input::ReleaseUndelivered(release));
             }
-            outbox.close(CloseMode::Immediately);
         }
     }
 
     /// Evicts a caller, unless it has unprocessed or queued messages.
     fn evict_caller(&mut self, caller: CallerId) {
-        let Some(connection) = self.callers.get(&caller) else { return };
+        let Some(CallerHandle { connection, .. }) = self.callers.get(&caller) else { return };
         if connection.outbox.unprocessed() == 0 && connection.outbox.queued().messages == 0 {
             connection.outbox.close(CloseMode::IfIdle);
             self.evicting.insert(caller);
--- a/crates/lilacpitch-node/src/net/shutdown.rs
+++ b/crates/lilacpitch-node/src/net/shutdown.rs
@@ -1,7 +1,7 @@
 //! The shutdown of a node: everything that has arrived is answered, and every connection is closed
 //! gracefully.
 
-use super::connections::ConnectionHandle;
+use super::connections::CallerHandle;
 use super::driver::{accept, Driver, ACCEPT_RETRY_PAUSE};
 use super::driver_event::DriverEvent;
 use lilacpitch_net::CloseMode;
@@ -57,7 +57,10 @@
             let quiet = tokio::time::sleep(QUIET_PERIOD);
             tokio::select! {
                 biased;
-                Some(event) = inbox.recv() => self.handle_event(event),
+                Some(event) = inbox.recv() => {
+                    self.handle_event(event);
+                    self.limit_caller_output().await;
+                }
                 accepted = accept(accepting), if accepting.is_some() => match accepted {
                     Ok(stream) => self.open_caller(stream),
                     Err(_) => tokio::time::sleep(ACCEPT_RETRY_PAUSE).await,
@@ -78,12 +81,12 @@
 }
 
 /// Closes callers' connections after their answers, and collects the tasks of those that were still open.
-fn close_after_answers<'a>(
-    callers: impl Iterator<Item = &'a ConnectionHandle>,
-    tasks: &mut Vec<AbortHandle>,
-) {
-    for caller in callers.filter(|caller| caller.outbox.close_mode() != Some(CloseMode::AfterAnswers)) {
-        caller.outbox.close(CloseMode::AfterAnswers);
-        tasks.push(caller.task.clone());
+fn close_after_answers<'a>(callers: impl Iterator<Item = &'a CallerHandle>, tasks: &mut Vec<AbortHandle>) {
+    let connections = callers.map(|caller| &caller.connection);
+    for connection in
+        connections.filter(|connection| connection.outbox.close_mode() != Some(CloseMode::AfterAnswers))
+    {
+        connection.outbox.close(CloseMode::AfterAnswers);
+        tasks.push(connection.task.clone());
     }
 }
