WebSocket edge: a burst neither disconnects a caller that reads nor loses a release

Change: each queue has a reserve for what the calls of the connection can cause; set-ups alone meet the limit. A caller over the limit is not read, and is disconnected once it has accepted nothing for 0.8 s.

--- a/crates/lilacpitch-edge/src/net/connection.rs
+++ b/crates/lilacpitch-edge/src/net/connection.rs
@@ -17,6 +17,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 /// Maximum number of messages that are encoded at once.
 const MAX_BATCH: usize = 64;
@@ -25,6 +26,16 @@
 /// How long the other end may take to read the remaining bytes once the connection is being closed.
 const LINGER: Duration = Duration::from_secs(1);
 
+/// What happens if the other end does not read what is sent to it.
+#[derive(Debug, Clone, Copy)]
+pub struct WriteLimits {
+    /// Number of queued messages above which nothing is read from the other end, so that it can't cause more
+    /// of them, and above which it has to accept something within `stall_timeout`.
+    pub unread_messages: usize,
+    /// The connection ends if the other end accepts nothing for this long.
+    pub stall_timeout: Duration,
+}
+
 /// A message to be sent.
 #[derive(Debug)]
 pub struct Outgoing {
@@ -66,6 +77,9 @@
     /// The stream could not be written.
     #[error("writing: {0}")]
     Write(std::io::Error),
+    /// The other end did not read for too long, and too much waits for it.
+    #[error("does not read")]
+    NotReading,
     /// The other end sent nothing for too long, and no answer to a ping.
     #[error("no answer to a ping")]
     Unresponsive,
@@ -127,6 +141,8 @@
     /// After this time without a received byte a ping is sent; after the same time again, the connection
     /// ends. `None`: no pings are sent.
     pub quiet: Option<Duration>,
+    /// What happens if the other end does not read; `None`: it may stop reading for any time.
+    pub write_limits: Option<WriteLimits>,
 }
 
 impl WebSocketConnection {
@@ -148,6 +164,9 @@
             let mask = self.mask();
             Encoder::close(&mut buffer.bytes, CloseCode::AWAY, "", mask);
         }
+        if matches!(cause, EndCause::NotReading) {
+            return ConnectionEnd { written: buffer.written, cause };
+        }
         // The remaining bytes, including any close frame, are sent if the other end still reads.
         let flush = tokio::time::timeout(LINGER, async {
             self.stream.write_all(buffer.unwritten()).await?;
@@ -167,17 +186,26 @@
     ) -> EndCause {
         let (mut incoming, mut batch) = (Vec::with_capacity(READ_BYTES), Vec::new());
         let mut is_ping_pending = false;
+        // Since when the other end has accepted nothing while too much waits for it.
+        let mut stalled_since: Option<Instant> = None;
         loop {
             if let Err(cause) = self.deliver_messages(decoder, &mut buffer.bytes, on_event).await {
                 return cause;
             }
             let (mut reader, mut writer) = self.stream.split();
             let quiet = self.quiet.unwrap_or(Duration::MAX);
+            let exceeded = self.write_limits.filter(|limits| out.len() > limits.unread_messages);
+            let stall_deadline =
+                exceeded.map(|limits| *stalled_since.get_or_insert_with(Instant::now) + limits.stall_timeout);
+            if exceeded.is_none() {
+                stalled_since = None;
+            }
+            let may_read = buffer.unwritten().len() < READ_BYTES && exceeded.is_none();
             incoming.clear();
             tokio::select! {
                 // Not read while too many bytes wait to be written: a peer that floods pings and reads no
                 // pongs must not make the buffer grow.
-                result = reader.read_buf(&mut incoming), if buffer.unwritten().len() < READ_BYTES => {
+                result = reader.read_buf(&mut incoming), if may_read => {
                     match result {
                         Ok(0) => return EndCause::EndOfStream,
                         Ok(_) => {
@@ -189,7 +217,10 @@
                 }
                 result = writer.write(&buffer.bytes[buffer.sent..]), if !buffer.unwritten().is_empty() => {
                     match result {
-                        Ok(count) => buffer.record_written(count),
+                        Ok(count) => {
+                            buffer.record_written(count);
+                            stalled_since = None;
+                        }
                         Err(error) => return EndCause::Write(error),
                     }
                 }
@@ -199,6 +230,9 @@
                     }
                     self.encode(&mut batch, buffer, on_event).await;
                 }
+                _ = tokio::time::sleep_until(stall_deadline.unwrap_or_else(Instant::now)), if stall_deadline.is_some() => {
+                    return EndCause::NotReading;
+                }
                 _ = tokio::time::sleep(quiet), if self.quiet.is_some() => {
                     if is_ping_pending {
                         return EndCause::Unresponsive;
--- a/crates/lilacpitch-edge/src/net/connections.rs
+++ b/crates/lilacpitch-edge/src/net/connections.rs
@@ -1,9 +1,12 @@
 //! The tasks of connections: accepted ones of callers, and opened ones to servers. Each task reports the end
 //! of its connection to the driver.
 
-use super::connection::{open, serve_handshake, ConnectionEvent, Outgoing, WebSocketConnection};
+use super::connection::{
+    open, serve_handshake, ConnectionEvent, EndCause, Outgoing, WebSocketConnection, WriteLimits,
+};
 use super::driver::Driver;
 use super::driver_event::DriverEvent;
+use super::startup::EVENT_QUEUE;
 use super::Clock;
 use crate::core::{CallerId, Input, UpstreamId};
 use lilacpitch_protocol::frame::Role;
@@ -13,18 +16,34 @@
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, Semaphore};
 use tokio::task::AbortHandle;
 
 /// Time limit for the handshake of a caller.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// How long a caller for which too much waits may accept nothing.
+const STALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// Most messages that one call sends to its caller, or to a server without a deadline.
+const MESSAGES_PER_CALL: usize = 4;
+
 /// The driver's handle of a connection: its outgoing queue and its task.
 pub(super) struct ConnectionHandle {
     pub out: mpsc::Sender<Outgoing>,
+    /// Places of the queue that are kept for messages which must not be dropped.
+    reserved: usize,
     pub task: AbortHandle,
 }
 
+impl ConnectionHandle {
+    /// Queues a message. Returns `false` if it is dropped: one with a deadline if the limit of the queue is
+    /// reached, one without only if the queue and its reserve are full.
+    pub(super) fn queue(&self, message: Outgoing) -> bool {
+        let has_place = message.not_after_ns.is_none() || self.out.capacity() > self.reserved;
+        has_place && self.out.try_send(message).is_ok()
+    }
+}
+
 /// The driver's resources that a connection's task uses.
 struct ConnectionContext {
     events: mpsc::Sender<DriverEvent>,
@@ -52,40 +71,60 @@
         }
         let caller = self.next_caller;
         self.next_caller += 1;
-        let (out, context) = self.connection_context();
+        let limits = &self.settings.limits;
+        // Every call may end in the same turn, and every event that is queued may be a request to answer.
+        let reserved = limits.calls_per_caller.saturating_mul(MESSAGES_PER_CALL) + EVENT_QUEUE;
+        let write_limits = WriteLimits { unread_messages: limits.queue, stall_timeout: STALL_TIMEOUT };
+        let (out, context) = self.connection_context(reserved);
         let quiet = Duration::from_nanos(self.settings.timing.quiet_ns);
-        let task = tokio::task::spawn_local(serve_caller(caller, stream, remote_address, quiet, context));
-        self.callers.insert(caller, ConnectionHandle { out, task: task.abort_handle() });
+        let task = tokio::task::spawn_local(serve_caller(
+            caller,
+            stream,
+            remote_address,
+            CallerTiming { quiet, write_limits },
+            context,
+        ));
+        self.callers.insert(caller, ConnectionHandle { out, reserved, task: task.abort_handle() });
         self.feed(Input::CallerOpened(caller));
     }
 
     /// Opens a connection to a server.
     pub(super) fn connect(&mut self, upstream: UpstreamId, address: SocketAddr) {
-        let (out, context) = self.connection_context();
+        let reserved = self.settings.limits.calls.saturating_mul(MESSAGES_PER_CALL);
+        let (out, context) = self.connection_context(reserved);
         let timeout = Duration::from_nanos(self.settings.timing.connect_ns);
         let target = format!("/signal/{}", self.settings.name);
         let task = tokio::task::spawn_local(run_upstream(upstream, address, target, timeout, context));
-        self.upstreams.insert(upstream, ConnectionHandle { out, task: task.abort_handle() });
+        self.upstreams.insert(upstream, ConnectionHandle { out, reserved, task: task.abort_handle() });
     }
 
-    fn connection_context(&mut self) -> (mpsc::Sender<Outgoing>, ConnectionContext) {
-        let (out, queue) = mpsc::channel(self.settings.limits.queue);
+    /// Creates a queue of the limited size and a reserve, and what the task of its connection needs.
+    fn connection_context(&mut self, reserved: usize) -> (mpsc::Sender<Outgoing>, ConnectionContext) {
+        let capacity = self.settings.limits.queue.saturating_add(reserved).min(Semaphore::MAX_PERMITS);
+        let (out, queue) = mpsc::channel(capacity);
         let (events, clock, rng) = (self.events.clone(), self.clock, self.fork_rng());
         (out, ConnectionContext { events, clock, rng, queue })
     }
 }
 
+/// How a caller that is idle, or does not read, is treated.
+struct CallerTiming {
+    /// Idle time after which it is pinged.
+    quiet: Duration,
+    write_limits: WriteLimits,
+}
+
 async fn serve_caller(
     caller: CallerId,
     mut stream: TcpStream,
     remote_address: SocketAddr,
-    quiet: Duration,
+    timing: CallerTiming,
     context: ConnectionContext,
 ) {
     let handshake = serve_handshake(&mut stream, "/call", handshake::CALL_PROTOCOL);
     match tokio::time::timeout(HANDSHAKE_TIMEOUT, handshake).await {
         Ok(Ok((target, received))) => {
-            return run_caller_connection(caller, stream, &target, &received, quiet, context).await;
+            return run_caller_connection(caller, stream, &target, &received, timing, context).await;
         }
         Ok(Err(error)) => tracing::debug!(from = %remote_address, %error, "caller handshake failed"),
         Err(_) => tracing::debug!(from = %remote_address, "caller handshake timed out"),
@@ -99,14 +138,15 @@
     stream: TcpStream,
     target: &str,
     received: &[u8],
-    quiet: Duration,
+    timing: CallerTiming,
     mut context: ConnectionContext,
 ) {
     if let Some(number) = caller_number(target) {
         context.send(Input::CallerNumber(caller, number)).await;
     }
     let (clock, rng) = (context.clock, context.rng.clone());
-    let connection = WebSocketConnection { stream, role: Role::Server, clock, rng, quiet: Some(quiet) };
+    let (quiet, write_limits) = (Some(timing.quiet), Some(timing.write_limits));
+    let connection = WebSocketConnection { stream, role: Role::Server, clock, rng, quiet, write_limits };
     let events = context.events.clone();
     let on_event = async |event| match event {
         ConnectionEvent::Text(text) => {
@@ -116,6 +156,9 @@
     };
     let end = connection.run(received, &mut context.queue, on_event).await;
     tracing::debug!(caller, cause = %end.cause, "caller connection ended");
+    if matches!(end.cause, EndCause::NotReading) {
+        let _ = context.events.send(DriverEvent::CallerNotReading(caller)).await;
+    }
     context.send(Input::CallerClosed(caller)).await;
 }
 
@@ -150,7 +193,8 @@
     context: &mut ConnectionContext,
 ) -> u64 {
     let (clock, rng) = (context.clock, context.rng.clone());
-    let connection = WebSocketConnection { stream, role: Role::Client, clock, rng, quiet: None };
+    let connection =
+        WebSocketConnection { stream, role: Role::Client, clock, rng, quiet: None, write_limits: None };
     let events = context.events.clone();
     let on_event = async |event| {
         let input = match event {
--- a/crates/lilacpitch-edge/src/net/driver.rs
+++ b/crates/lilacpitch-edge/src/net/driver.rs
@@ -136,6 +136,7 @@
                 }
                 self.feed(input);
             }
+            DriverEvent::CallerNotReading(caller) => self.count_disconnected_caller(caller),
             DriverEvent::ListRead(list) => self.apply_endpoint_list(list),
             DriverEvent::ListRejected(error) => {
                 tracing::error!(%error, "endpoint list rejected, keeping the current one");
@@ -249,7 +250,7 @@
             Effect::ToCaller(caller, text) => self.send_to_caller(caller, text),
             Effect::ToServer { upstream, message, text, not_after_ns } => {
                 let Some(handle) = self.upstreams.get(&upstream) else { return };
-                if handle.out.try_send(Outgoing { number: message, text, not_after_ns }).is_err() {
+                if !handle.queue(Outgoing { number: message, text, not_after_ns }) {
                     self.feed_later(Input::NotWritten { upstream, message });
                 }
             }
@@ -275,20 +276,24 @@
         }
     }
 
-    /// Queues a message for a caller. A caller that does not read is disconnected, so that others are not
-    /// delayed.
+    /// Queues a message for a caller. Its connection's task ends the connection if the caller does not read. A
+    /// caller whose queue is full even so is disconnected at once.
     fn send_to_caller(&mut self, caller: CallerId, text: String) {
         let Some(handle) = self.callers.get(&caller) else { return };
-        if handle.out.try_send(Outgoing { number: 0, text, not_after_ns: None }).is_ok() {
+        if handle.queue(Outgoing { number: 0, text, not_after_ns: None }) {
             return;
         }
-        tracing::info!(caller, "caller disconnected, it does not read");
         handle.task.abort();
         self.callers.remove(&caller);
-        self.core.count_disconnected_caller();
+        self.count_disconnected_caller(caller);
         self.feed_later(Input::CallerClosed(caller));
     }
 
+    fn count_disconnected_caller(&mut self, caller: CallerId) {
+        tracing::info!(caller, "caller disconnected, it does not read");
+        self.core.count_disconnected_caller();
+    }
+
     /// Queues an input that results from an effect. A separate task sends it, as the core is handling another
     /// input and the queue may be full.
     fn feed_later(&self, input: Input) {
--- a/crates/lilacpitch-edge/src/net/driver_event.rs
+++ b/crates/lilacpitch-edge/src/net/driver_event.rs
@@ -1,7 +1,7 @@
 //! The events that the tasks of the shell send to the driver.
 
 use super::watched_file::ReadError;
-use crate::core::Input;
+use crate::core::{CallerId, Input};
 use lilacpitch_config::Pools;
 use lilacpitch_gossip::Keys;
 use tokio::sync::oneshot;
@@ -10,6 +10,8 @@
 pub(super) enum DriverEvent {
     /// An input for the core.
     Input(Input),
+    /// A caller that does not read is disconnected; the end of its connection follows.
+    CallerNotReading(CallerId),
     /// The endpoint list has changed, and was read.
     ListRead(Pools),
     /// The endpoint list has changed and cannot be read.
--- a/crates/lilacpitch-testbed/src/callers.rs
+++ b/crates/lilacpitch-testbed/src/callers.rs
@@ -172,7 +172,14 @@
         self.connections[index] += 1;
         let (received, clock, connection) = (self.received.clone(), self.clock, self.connections[index]);
         let task = tokio::task::spawn_local(async move {
-            let websocket = WebSocketConnection { stream, role: Role::Client, clock, rng, quiet: None };
+            let websocket = WebSocketConnection {
+                stream,
+                role: Role::Client,
+                clock,
+                rng,
+                quiet: None,
+                write_limits: None,
+            };
             let on_event = async |event| match event {
                 ConnectionEvent::Text(text) => {
                     received.send(Received { socket: index, connection, text: Some(text) }).await.is_ok()
--- a/crates/lilacpitch-testbed/src/edges.rs
+++ b/crates/lilacpitch-testbed/src/edges.rs
@@ -169,6 +169,7 @@
         clock: Clock::start(),
         rng: StdRng::seed_from_u64(0),
         quiet: None,
+        write_limits: None,
     };
     let on_event = async |event| {
         if let ConnectionEvent::Text(text) = event {
--- a/crates/lilacpitch-testbed/src/standin.rs
+++ b/crates/lilacpitch-testbed/src/standin.rs
@@ -161,7 +161,14 @@
                 return;
             }
             let rng = StdRng::seed_from_u64(connection);
-            let websocket = WebSocketConnection { stream, role: Role::Server, clock, rng, quiet: None };
+            let websocket = WebSocketConnection {
+                stream,
+                role: Role::Server,
+                clock,
+                rng,
+                quiet: None,
+                write_limits: None,
+            };
             let on_event = async |event| match event {
                 ConnectionEvent::Text(text) => {
                     events.send(SocketEvent::Text { connection, text }).await.is_ok()
