Hold a front node's memory limit by construction, whatever its callers send

Cause: open set-ups were kept with their descriptions, and only their number was limited. By the tests written for it, the same holds of decoded messages (a batch of small ones takes up about ten times its size), of calls that callers report with `at`, and of evictions that were declined, each of which left a task behind.

Change: the memory limit is divided among all that grows with input, and each share is enforced where memory is taken: connections by number with a buffer of one message, messages decoded one by one, calls charged to an account of which a caller's open set-ups take up what they leave free at most, output by the sum of all queues. Callers that set up a call within the last second are evicted last. A set-up that exceeds 16 KiB as a line of JSON gets 413.

--- a/crates/lilacpitch-edge/tests/node/callers.rs
+++ b/crates/lilacpitch-edge/tests/node/callers.rs
@@ -142,6 +142,21 @@
     assert!(node.memory_mb() < 32, "{} MB", node.memory_mb());
 }
 
+/// Guards against lines of over 16 KiB: a set-up within that limit may be longer as a line of JSON.
+#[test]
+fn rejects_a_setup_that_is_too_long_as_a_line_of_json() {
+    let (server, _node, mut caller) = Node::with_one_server();
+    // Each of these characters is escaped by six.
+    caller.send(&invite(&id(5), "dest:0;width:1;via:-1", 3_000, &"\u{1}".repeat(3_000)));
+    assert_eq!(caller.next().and_then(|message| message.status()), Some(413));
+    assert_eq!(server.all_within(ms(100)).len(), 0, "the set-up reached the server");
+    caller.send(&invite(&id(6), "dest:0;width:1;via:-1", 3_000, &"\u{1}".repeat(2_000)));
+    let launch = server.next("launch");
+    assert!(launch.value.as_ref().unwrap().to_string().len() <= 16 * 1024);
+    server.answer(&launch, "there");
+    assert_eq!(caller.next().unwrap().body, "there");
+}
+
 #[test]
 fn serves_others_during_a_flood_of_cancelled_setups() {
     let server = Server::start();
--- a/crates/lilacpitch-net/src/connection.rs
+++ b/crates/lilacpitch-net/src/connection.rs
@@ -28,8 +28,15 @@
     type Message;
     /// Why the stream can't be decoded any further.
     type Error: std::error::Error;
+    /// Returns how many bytes may be fed at most. Not 0 unless a complete message or an error is due.
+    fn free_bytes(&self) -> usize {
+        READ_BYTES
+    }
     /// Appends bytes read from the stream.
     fn feed(&mut self, bytes: &[u8]);
+    /// Looks ahead in what was just fed, before its messages are returned one by one: messages that later ones
+    /// cancel may be left out. Not called again until all complete messages were returned.
+    fn look_ahead(&mut self) {}
     /// Returns the next complete message, or `None` until more bytes arrive.
     ///
     /// # Errors
@@ -39,9 +46,6 @@
     fn has_partial_message(&self) -> bool;
     /// Returns the last bytes to send to a peer that caused this error, if any.
     fn final_response(error: &Self::Error) -> Option<Vec<u8>>;
-    /// Removes messages that are cancelled by later ones of the same batch. A batch is what is decoded after
-    /// one read.
-    fn remove_cancelled(_batch: &mut Vec<Self::Message>) {}
 }
 
 /// What a connection reports to its owner while it is open.
@@ -324,67 +328,60 @@
         }
     }
 
-    /// Delivers all complete messages. Returns their count, or why the connection ends.
+    /// Delivers all complete messages. Returns their count, or why the connection ends. Each is decoded only
+    /// after the owner has accepted the one before it, so that decoded messages never pile up.
     async fn deliver_messages(
         &mut self,
         peer: &mut PeerState<impl Fn()>,
         on_event: &mut impl AsyncFnMut(ConnectionEvent<C::Message>) -> bool,
     ) -> Result<usize, EndReason<C::Error>> {
-        let (batch, error) = self.decode_batch();
-        let count = batch.len();
-        if count > 0 {
-            self.outbox.cancel_eviction();
-        }
-        let is_owner_running = self.deliver_batch(batch, peer, on_event).await;
-        match error {
-            Some(error) => Err(EndReason::Malformed(error)),
-            None if !is_owner_running => Err(EndReason::OwnerStopped),
-            None => Ok(count),
-        }
+        self.codec.look_ahead();
+        // Keeps the connection from being evicted while some of its messages are not decoded.
+        self.outbox.set_delivering(true);
+        let result = self.deliver_decoded(peer, on_event).await;
+        self.outbox.set_delivering(false);
+        result
     }
 
-    /// Decodes all complete messages up to the first error.
-    fn decode_batch(&mut self) -> (Vec<C::Message>, Option<C::Error>) {
-        let mut batch = Vec::new();
-        let error = loop {
-            match self.codec.next_message() {
-                Ok(Some(message)) => batch.push(message),
-                Ok(None) => break None,
-                Err(error) => break Some(error),
+    async fn deliver_decoded(
+        &mut self,
+        peer: &mut PeerState<impl Fn()>,
+        on_event: &mut impl AsyncFnMut(ConnectionEvent<C::Message>) -> bool,
+    ) -> Result<usize, EndReason<C::Error>> {
+        let mut count = 0;
+        while let Some(message) = self.codec.next_message().map_err(EndReason::Malformed)? {
+            if count == 0 {
+                self.outbox.cancel_eviction();
             }
-        };
-        C::remove_cancelled(&mut batch);
-        (batch, error)
+            count += 1;
+            if !self.deliver(message, peer, on_event).await {
+                return Err(EndReason::OwnerStopped);
+            }
+        }
+        Ok(count)
     }
 
-    /// Delivers messages one by one, checking for a close by the peer meanwhile. Returns `false` once the
-    /// owner accepts no more.
-    async fn deliver_batch(
+    /// Delivers a message, checking for a close by the peer meanwhile. Returns `false` once the owner accepts
+    /// no more.
+    async fn deliver(
         &self,
-        batch: Vec<C::Message>,
+        message: C::Message,
         peer: &mut PeerState<impl Fn()>,
         on_event: &mut impl AsyncFnMut(ConnectionEvent<C::Message>) -> bool,
     ) -> bool {
-        // Counts the whole batch at once, since messages that wait here are unprocessed too.
-        batch.iter().for_each(|_| self.outbox.record_received());
-        for message in batch {
-            let mut delivery = std::pin::pin!(on_event(ConnectionEvent::Message(message)));
-            let is_owner_running = loop {
-                tokio::select! {
-                    biased;
-                    is_owner_running = &mut delivery => break is_owner_running,
-                    () = tokio::time::sleep(CLOSE_CHECK_INTERVAL), if !peer.has_closed => {
-                        if is_read_closed(&self.stream).await {
-                            peer.record_closed();
-                        }
+        self.outbox.record_received();
+        let mut delivery = std::pin::pin!(on_event(ConnectionEvent::Message(message)));
+        loop {
+            tokio::select! {
+                biased;
+                is_owner_running = &mut delivery => return is_owner_running,
+                () = tokio::time::sleep(CLOSE_CHECK_INTERVAL), if !peer.has_closed => {
+                    if is_read_closed(&self.stream).await {
+                        peer.record_closed();
                     }
                 }
-            };
-            if !is_owner_running {
-                return false;
             }
         }
-        true
     }
 
     /// Updates the read deadline after a read that completed `count` messages.
@@ -402,7 +399,8 @@
     /// Feeds available input to the codec. The read buffer is not retained while a connection waits.
     fn read(&mut self) -> io::Result<usize> {
         let mut buffer = [0; READ_BYTES];
-        let count = self.stream.try_read(&mut buffer)?;
+        let most = self.codec.free_bytes().clamp(1, READ_BYTES);
+        let count = self.stream.try_read(&mut buffer[..most])?;
         self.codec.feed(&buffer[..count]);
         Ok(count)
     }
--- a/crates/lilacpitch-net/src/outbox.rs
+++ b/crates/lilacpitch-net/src/outbox.rs
@@ -100,6 +100,8 @@
     /// Number of messages read from the connection, and of reports of an empty queue, that its owner has not
     /// processed.
     unprocessed: Cell<usize>,
+    /// Whether messages that were read are being delivered, some of which may not be decoded yet.
+    is_delivering: Cell<bool>,
     /// Whether the owner is to be told when the queue is empty.
     must_report_empty: Cell<bool>,
     /// Notified when a message is queued, the close mode is set, or a closing connection has processed a
@@ -203,10 +205,15 @@
         is_due
     }
 
-    /// Returns the number of messages read from the connection, and of reports of an empty queue, that the
-    /// owner has not processed.
+    /// Records whether messages that were read are being delivered, some of which may not be decoded yet.
+    pub(crate) fn set_delivering(&self, is_delivering: bool) {
+        self.0.is_delivering.set(is_delivering);
+    }
+
+    /// Returns the number of messages decoded, and of reports of an empty queue, that the owner has not
+    /// processed; at least 1 while messages that were read are being delivered.
     pub fn unprocessed(&self) -> usize {
-        self.0.unprocessed.get()
+        self.0.unprocessed.get().max(usize::from(self.0.is_delivering.get()))
     }
 
     /// Writes as much as the socket accepts, and drops unwritten messages whose deadline has passed.
--- a/crates/lilacpitch-node/src/config.rs
+++ b/crates/lilacpitch-node/src/config.rs
@@ -1,4 +1,4 @@
-//! The configuration file of a node, and how file descriptors are divided among the kinds of connections.
+//! The configuration file of a node, and how file descriptors and memory are divided among their uses.
 //!
 //! The file is one JSON object with keys defined by the platform. Errors name the file, the field and the
 //! problem, so that an operator can correct the file.
@@ -80,6 +80,13 @@
     pub upstreams: usize,
     /// Bytes that may wait to be written to all callers together.
     pub caller_output_bytes: usize,
+    /// Bytes of messages other than set-ups that may wait to be written to all servers together. The memory
+    /// of set-ups counts as that of their calls.
+    pub server_output_bytes: usize,
+    /// Bytes that all calls may take up.
+    pub call_bytes: usize,
+    /// Events that may wait for the driver.
+    pub queued_events: usize,
 }
 
 /// Descriptors reserved for the runtime, the listener, the coordinator's connection and spare ones.
@@ -92,29 +99,53 @@
 const MIN_SOCKETS: usize = 2 * RESERVED_SOCKETS;
 /// Lowest memory limit in MiB: more than an idle node uses.
 const MIN_MEMORY_MB: u64 = 8;
-/// Memory of one caller's connection in KiB: a partial message and unread responses. Callers may use half of
-/// the memory limit.
-const KIB_PER_CALLER: u64 = 32;
-
-/// One in this many bytes of the memory limit is for what waits to be written to callers.
-const CALLER_OUTPUT_FRACTION: usize = 8;
+/// Memory of one connection in KiB: the longest incomplete message, and the state of its task.
+const KIB_PER_CONNECTION: usize = 24;
+/// Memory of one event that waits for the driver in KiB: the longest message, decoded.
+const KIB_PER_EVENT: usize = 20;
+/// Most events that wait for the driver. While the queue is full, connections are not read. A small queue
+/// bounds the time that an event waits.
+const MAX_QUEUED_EVENTS: usize = 64;
+/// The memory limit is divided into this many shares. What is not assigned is for the program itself and for
+/// the overhead of the allocator.
+const MEMORY_SHARES: usize = 32;
+/// Shares of the memory limit for callers' connections.
+const CALLER_SHARES: usize = 10;
+/// Shares for what waits to be written to callers.
+const CALLER_OUTPUT_SHARES: usize = 4;
+/// Shares for calls.
+const CALL_SHARES: usize = 8;
+/// Shares for connections to servers.
+const UPSTREAM_SHARES: usize = 4;
+/// Shares for what waits to be written to servers.
+const SERVER_OUTPUT_SHARES: usize = 1;
+/// Shares for events that wait for the driver.
+const EVENT_SHARES: usize = 1;
 
 impl Limits {
-    /// Returns the memory limit in bytes; the largest number if there is none.
-    fn memory_bytes(&self) -> usize {
-        let bytes = self.memory_mb.map_or(u64::MAX, |mb| mb.saturating_mul(1024 * 1024));
+    /// Returns a number of shares of the memory limit in bytes; the largest number if there is no limit.
+    fn memory_bytes(&self, shares: usize) -> usize {
+        let Some(memory_mb) = self.memory_mb else { return usize::MAX };
+        let bytes = memory_mb.saturating_mul(1024 * 1024) / MEMORY_SHARES as u64 * shares as u64;
         usize::try_from(bytes).unwrap_or(usize::MAX)
     }
 
     /// Divides the descriptors and the memory among their uses.
     pub fn budget(&self) -> Budget {
-        let upstreams = self.sockets / UPSTREAM_FRACTION;
+        let connections = |shares: usize| self.memory_bytes(shares) / (KIB_PER_CONNECTION * 1024);
+        let upstreams = (self.sockets / UPSTREAM_FRACTION).min(connections(UPSTREAM_SHARES));
         let remaining = self.sockets.saturating_sub(upstreams).saturating_sub(RESERVED_SOCKETS);
         let draining = remaining / DRAINING_FRACTION;
-        let memory_bound = self.memory_mb.map_or(u64::MAX, |mb| mb.saturating_mul(1024) / 2 / KIB_PER_CALLER);
-        let callers = (remaining - draining).min(usize::try_from(memory_bound).unwrap_or(usize::MAX));
-        let caller_output_bytes = self.memory_bytes() / CALLER_OUTPUT_FRACTION;
-        Budget { callers, draining, upstreams, caller_output_bytes }
+        let events = self.memory_bytes(EVENT_SHARES) / (KIB_PER_EVENT * 1024);
+        Budget {
+            callers: (remaining - draining).min(connections(CALLER_SHARES)),
+            draining,
+            upstreams,
+            caller_output_bytes: self.memory_bytes(CALLER_OUTPUT_SHARES),
+            server_output_bytes: self.memory_bytes(SERVER_OUTPUT_SHARES),
+            call_bytes: self.memory_bytes(CALL_SHARES),
+            queued_events: events.clamp(1, MAX_QUEUED_EVENTS),
+        }
     }
 
     /// Checks the lower bounds. An error consists of the field's path and the problem.
--- a/crates/lilacpitch-node/src/core/active_calls.rs
+++ b/crates/lilacpitch-node/src/core/active_calls.rs
@@ -31,8 +31,13 @@
             self.release_to_caller(caller, Release { wire_id, cause: CAUSE_CUT }, effects);
             return;
         };
+        if !self.has_memory_to_adopt() {
+            self.counters.not_adopted += 1;
+            return;
+        }
         let id = self.next_call;
         self.next_call += 1;
+        let charged_bytes = self.charge_established_call();
         self.counters.adopted += 1;
         let state = AttemptState::Established(NO_UPSTREAM);
         let attempt = Attempt { server, number: 0, state, deadline_ns: 0, sent_ns: 0 };
@@ -45,6 +50,7 @@
             attempt_count: 1,
             used_upstreams: Vec::new(),
             established_ns: self.now,
+            charged_bytes,
         };
         self.calls.insert(id, call);
         self.calls_by_wire_id.insert(wire_id, id);
--- a/crates/lilacpitch-node/src/core/attempts.rs
+++ b/crates/lilacpitch-node/src/core/attempts.rs
@@ -111,7 +111,7 @@
         };
         let until_ns = self.now + CANCELLED_RETENTION_NS;
         let Some(connection) = self.upstreams.get_mut(&upstream) else { return };
-        connection.cancelled.insert(wire_id, until_ns);
+        connection.record_cancelled(wire_id, until_ns);
         let stop_message = connection.next_message;
         connection.next_message += 1;
         let bytes = signalling::encode_stop(wire_id, signalling::CAUSE_NORMAL);
--- a/crates/lilacpitch-node/src/core/callers.rs
+++ b/crates/lilacpitch-node/src/core/callers.rs
@@ -7,7 +7,7 @@
 use super::path::Path;
 use super::records::Caller;
 use super::{CallerId, Effect, NodeCore};
-use crate::signalling::parse_call_id;
+use crate::signalling::{self, parse_call_id, MAX_LINE_BYTES};
 use lilacpitch::interface::{CallId, Nanos};
 use lilacpitch_sip::{Message, Request};
 
@@ -19,6 +19,9 @@
 /// are the first to be evicted.
 const FIRST_REQUEST_NS: Nanos = 100_000_000;
 
+/// A caller that has set up a call within this time is in use, and evicted last.
+const IN_USE_NS: Nanos = 1_000_000_000;
+
 /// The response that rejects a request: status and reason phrase.
 pub(super) type Rejection = (u16, &'static str);
 
@@ -94,7 +97,8 @@
             return Ok(());
         }
         self.check_admission(wire_id)?;
-        self.admit_call(caller, setup);
+        let charged_bytes = self.check_call_memory(caller, &setup)?;
+        self.admit_call(caller, setup, charged_bytes);
         self.send_waiting_releases(caller, effects);
         Ok(())
     }
@@ -116,6 +120,22 @@
         Ok(())
     }
 
+    /// Checks whether a call fits into a message for a server, and into the memory for calls. Returns its
+    /// memory in bytes.
+    fn check_call_memory(&self, caller: CallerId, setup: &SetupRequest) -> Result<usize, Rejection> {
+        let class = self.site.class_names.get(setup.class).map_or("", String::as_str);
+        let line = signalling::encode_setup(setup.wire_id, class, &setup.number, setup.left_ms, &setup.body);
+        if line.len() > MAX_LINE_BYTES {
+            return Err((413, "Message Too Long"));
+        }
+        let bytes = NodeCore::open_call_bytes(setup, line.len());
+        if self.has_memory_for_setup(caller, bytes) {
+            Ok(bytes)
+        } else {
+            Err((503, "Too Many Calls"))
+        }
+    }
+
     /// Handles a cancellation: the set-up gets no final response. If it crosses the answer, it releases the
     /// call.
     fn handle_cancel(
@@ -168,8 +188,9 @@
     }
 
     /// Evicts a caller without an open call: preferably one that sent no valid set-up in time after
-    /// connecting, else the one that has been idle for the longest time. The newest is never evicted, since
-    /// it has yet to send its first request.
+    /// connecting, else the one that has been idle for the longest time, and only if there is no other, one
+    /// that set up a call shortly before. The newest is never evicted, since it has yet to send its first
+    /// request.
     pub(super) fn evict_idle_caller(&mut self, effects: &mut Vec<Effect>) {
         let now = self.now;
         let newest = self.callers.last_key_value().map(|(id, _)| *id);
@@ -179,7 +200,9 @@
         let idle = self.callers.iter_mut().filter(|(id, caller)| is_idle(**id, caller));
         let is_overdue =
             |caller: &Caller| !caller.is_verified && now - caller.last_active_ns > FIRST_REQUEST_NS;
-        let next_evicted = idle.min_by_key(|(_, caller)| (!is_overdue(caller), caller.last_active_ns));
+        let is_in_use = |caller: &Caller| now.saturating_sub(caller.last_setup_ns) < IN_USE_NS;
+        let next_evicted =
+            idle.min_by_key(|(_, caller)| (is_in_use(caller), !is_overdue(caller), caller.last_active_ns));
         if let Some((id, caller)) = next_evicted {
             caller.is_evicting = true;
             effects.push(Effect::EvictCaller(*id));
--- a/crates/lilacpitch-node/src/core/calls.rs
+++ b/crates/lilacpitch-node/src/core/calls.rs
@@ -32,13 +32,14 @@
 
 impl NodeCore {
     /// Enters a call into the tables and reports it to the controller.
-    pub(super) fn admit_call(&mut self, caller: CallerId, request: SetupRequest) {
+    pub(super) fn admit_call(&mut self, caller: CallerId, request: SetupRequest, charged_bytes: usize) {
         let id = self.next_call;
         self.next_call += 1;
         self.counters.accepted += 1;
         if let Some(caller) = self.callers.get_mut(&caller) {
             caller.open_calls.insert(id);
             caller.is_verified = true;
+            caller.last_setup_ns = self.now;
         }
         let arrived = interface::Call {
             id,
@@ -65,7 +66,9 @@
             attempt_count: 0,
             used_upstreams: Vec::new(),
             established_ns: 0,
+            charged_bytes,
         };
+        self.charge_open_call(caller, charged_bytes);
         self.calls.insert(id, call);
         self.open_calls += 1;
         self.calls_by_wire_id.insert(request.wire_id, id);
@@ -87,6 +90,10 @@
         call.established_ns = self.now;
         let (caller, attempt) = (call.caller, *attempt);
         call.used_upstreams = Vec::new();
+        let open_bytes = call.charged_bytes;
+        self.discharge_open_call(caller, open_bytes);
+        let established_bytes = self.charge_established_call();
+        self.calls.entry(id).and_modify(|call| call.charged_bytes = established_bytes);
         self.timers.clear(Timer::AttemptTimeout(id));
         self.upstreams.entry(upstream).and_modify(|upstream| _ = upstream.setups.remove(&id));
         self.servers.entry(attempt.server).and_modify(|server| _ = server.active_calls.insert(id));
@@ -178,7 +185,12 @@
     /// in use for the release time.
     pub(super) fn remove_call(&mut self, id: CallId) -> Option<Call> {
         let call = self.calls.remove(&id)?;
-        self.open_calls -= usize::from(!call.is_established());
+        if call.is_established() {
+            self.discharge_established_call(call.charged_bytes);
+        } else {
+            self.open_calls -= 1;
+            self.discharge_open_call(call.caller, call.charged_bytes);
+        }
         self.calls_by_wire_id.remove(&call.wire_id);
         self.callers.entry(call.caller).and_modify(|caller| _ = caller.open_calls.remove(&id));
         self.timers.clear(Timer::AttemptTimeout(id));
--- a/crates/lilacpitch-node/src/core/counters.rs
+++ b/crates/lilacpitch-node/src/core/counters.rs
@@ -18,6 +18,8 @@
     pub cancelled: u64,
     /// Adopted calls, which another front has established.
     pub adopted: u64,
+    /// Calls that were reported as established and not adopted, because the memory for them was used up.
+    pub not_adopted: u64,
     /// Rejected messages of callers, by status.
     pub rejected_messages: BTreeMap<u16, u64>,
     /// Attempts that the controller requested. Each is completed once, with one of the outcomes.
--- a/crates/lilacpitch-node/src/core/mod.rs
+++ b/crates/lilacpitch-node/src/core/mod.rs
@@ -10,6 +10,7 @@
 mod active_calls;
 mod attempt_trace;
 mod attempts;
+mod call_memory;
 mod callers;
 mod calls;
 mod counters;
@@ -27,6 +28,7 @@
 
 use crate::coordinator::Endpoints;
 use crate::signalling::ServerMessage;
+use call_memory::CallMemory;
 use lilacpitch::interface::{Action, CallId, Nanos, ServerId};
 use lilacpitch::settings::Site;
 use lilacpitch::{Controller, Event};
@@ -144,6 +146,7 @@
     calls: BTreeMap<CallId, Call>,
     /// Number of calls without a final response.
     open_calls: usize,
+    call_memory: CallMemory,
     /// Calls by their id on the wire.
     calls_by_wire_id: BTreeMap<u64, CallId>,
     servers: BTreeMap<ServerId, Server>,
@@ -186,6 +189,7 @@
             callers: BTreeMap::new(),
             calls: BTreeMap::new(),
             open_calls: 0,
+            call_memory: CallMemory::unlimited(),
             calls_by_wire_id: BTreeMap::new(),
             servers: BTreeMap::new(),
             servers_by_uid: BTreeMap::new(),
@@ -282,6 +286,7 @@
             ("callers", self.callers.len()),
             ("calls", self.calls.len()),
             ("open calls", self.open_calls),
+            ("memory of calls", self.call_memory.used()),
             ("wire ids of calls", self.calls_by_wire_id.len()),
             ("servers", self.servers.len()),
             ("uids of servers", self.servers_by_uid.len()),
--- a/crates/lilacpitch-node/src/core/records.rs
+++ b/crates/lilacpitch-node/src/core/records.rs
@@ -12,12 +12,16 @@
     pub open_calls: BTreeSet<CallId>,
     /// When it last sent a message, or else connected.
     pub last_active_ns: Nanos,
+    /// When it last sent a set-up that was admitted; 0 before.
+    pub last_setup_ns: Nanos,
     /// Whether it has sent a set-up that was admitted, or reported an established call.
     pub is_verified: bool,
     /// Whether its eviction was requested and not declined.
     pub is_evicting: bool,
     /// Whether it has closed its connection. Set-ups that still arrive from it are discarded.
     pub is_disconnected: bool,
+    /// Memory charged for its open calls, in bytes.
+    pub charged_bytes: usize,
     /// Number of releases given to its connection that are not known to be written.
     pub unwritten_releases: usize,
 }
@@ -28,9 +32,11 @@
         Caller {
             open_calls: BTreeSet::new(),
             last_active_ns: now,
+            last_setup_ns: 0,
             is_verified: false,
             is_evicting: false,
             is_disconnected: false,
+            charged_bytes: 0,
             unwritten_releases: 0,
         }
     }
@@ -56,6 +62,8 @@
     pub used_upstreams: Vec<UpstreamId>,
     /// When it was established; 0 before.
     pub established_ns: Nanos,
+    /// Memory charged for it, in bytes.
+    pub charged_bytes: usize,
 }
 
 impl Call {
@@ -160,6 +168,20 @@
     }
 }
 
+/// Most cancelled set-ups that are kept for one connection; with more, the oldest is forgotten.
+const MAX_CANCELLED_SETUPS: usize = 256;
+
+impl UpstreamConnection {
+    /// Keeps a cancelled set-up, so that its late answer is recognized until `until_ns`.
+    pub(super) fn record_cancelled(&mut self, wire_id: u64, until_ns: Nanos) {
+        if self.cancelled.len() >= MAX_CANCELLED_SETUPS {
+            let oldest = self.cancelled.iter().min_by_key(|(_, until_ns)| **until_ns).map(|(id, _)| *id);
+            oldest.map(|id| self.cancelled.remove(&id));
+        }
+        self.cancelled.insert(wire_id, until_ns);
+    }
+}
+
 /// A release to a server that waits for a connection to be established.
 #[derive(Debug)]
 pub(super) struct PendingRelease {
--- a/crates/lilacpitch-node/src/core/releases.rs
+++ b/crates/lilacpitch-node/src/core/releases.rs
@@ -36,28 +36,40 @@
     by_caller: BTreeMap<CallerId, VecDeque<Release>>,
     /// Those for any caller.
     unassigned: VecDeque<Release>,
+    /// Number of all.
+    count: usize,
 }
 
 impl WaitingReleases {
     /// Returns the number of releases.
     pub(super) fn len(&self) -> usize {
-        self.unassigned.len() + self.by_caller.values().map(VecDeque::len).sum::<usize>()
+        self.count
+    }
+
+    /// Adds a release for the caller of the call's set-up.
+    fn push(&mut self, caller: CallerId, release: Release) {
+        self.count += 1;
+        self.by_caller.entry(caller).or_default().push_back(release);
+    }
+
+    /// Adds a release for any caller.
+    fn push_unassigned(&mut self, release: Release) {
+        self.count += 1;
+        self.unassigned.push_back(release);
     }
 
     /// Removes and returns the next release for a caller. Only a verified one gets those for any caller.
     fn pop(&mut self, caller: CallerId, is_verified: bool) -> Option<Release> {
-        if let Some(own) = self.by_caller.get_mut(&caller) {
-            let release = own.pop_front();
-            if own.is_empty() {
-                self.by_caller.remove(&caller);
-            }
-            return release;
-        }
-        if is_verified {
-            self.unassigned.pop_front()
-        } else {
-            None
+        let release = match self.by_caller.get_mut(&caller) {
+            Some(own) => own.pop_front(),
+            None if is_verified => self.unassigned.pop_front(),
+            None => None,
+        };
+        if self.by_caller.get(&caller).is_some_and(VecDeque::is_empty) {
+            self.by_caller.remove(&caller);
         }
+        self.count -= usize::from(release.is_some());
+        release
     }
 }
 
@@ -71,7 +83,7 @@
         effects: &mut Vec<Effect>,
     ) {
         if self.callers.get(&caller).is_some_and(|caller| !caller.is_disconnected) {
-            self.waiting_releases.by_caller.entry(caller).or_default().push_back(release);
+            self.waiting_releases.push(caller, release);
             self.send_waiting_releases(caller, effects);
         } else {
             self.release_to_any_caller(release, effects);
@@ -80,7 +92,7 @@
 
     /// Sends a release to the newest verified caller that can take it, the next one if there is none.
     pub(super) fn release_to_any_caller(&mut self, release: Release, effects: &mut Vec<Effect>) {
-        self.waiting_releases.unassigned.push_back(release);
+        self.waiting_releases.push_unassigned(release);
         self.assign_waiting_releases(effects);
     }
 
--- a/crates/lilacpitch-node/src/net/connections.rs
+++ b/crates/lilacpitch-node/src/net/connections.rs
@@ -88,6 +88,8 @@
     pub disconnects: mpsc::UnboundedSender<CallerId>,
     /// Counts the bytes that are queued for callers.
     pub caller_output: QueuedBytes,
+    /// Counts the bytes that are queued for servers.
+    pub server_output: QueuedBytes,
     /// Limits the number of closed connections that are draining.
     pub drain_quota: Rc<DrainQuota>,
     /// The node's clock.
@@ -115,7 +117,7 @@
 
     /// Starts the task that connects to a server and runs the connection.
     pub(super) fn spawn_upstream(&self, upstream: UpstreamId, address: SocketAddr) -> ConnectionHandle {
-        let outbox = Outbox::default();
+        let outbox = Outbox::counted_in(&self.server_output);
         let task = tokio::task::spawn_local(self.clone().run_upstream(upstream, address, outbox.clone()));
         ConnectionHandle { outbox, task: task.abort_handle() }
     }
@@ -129,8 +131,12 @@
         };
         let (end, closing) = connection.run(|| _ = self.disconnects.send(caller), on_event).await;
         tracing::debug!(caller, reason = %end.reason, "caller connection closed");
-        if let EndReason::Malformed(error) = end.reason {
-            let _ = self.events.send(DriverEvent::Malformed(MalformedMessage::Caller(error))).await;
+        match end.reason {
+            EndReason::Malformed(error) => {
+                let _ = self.events.send(DriverEvent::Malformed(MalformedMessage::Caller(error))).await;
+            }
+            EndReason::NotReading => tracing::info!(caller, "caller disconnected, not reading"),
+            _ => {}
         }
         self.send(Input::CallerClosed(caller)).await;
         closing.drain(&self.drain_quota).await;
--- a/crates/lilacpitch-node/src/net/counters.rs
+++ b/crates/lilacpitch-node/src/net/counters.rs
@@ -21,6 +21,7 @@
         c.failed = counters.failed,
         c.gone = counters.cancelled,
         c.adopted = counters.adopted,
+        c.not_adopted = counters.not_adopted,
         c.strays = counters.unmatched,
         c.links_lost = counters.upstreams_lost,
         c.links_mute = counters.upstreams_unresponsive,
--- a/crates/lilacpitch-node/src/net/driver.rs
+++ b/crates/lilacpitch-node/src/net/driver.rs
@@ -19,7 +19,7 @@
 
 /// Most events handled before timers, signals and new connections are checked again.
 const EVENTS_PER_ROUND: usize = 32;
-/// Most messages that wait to be written on one connection to a server.
+/// Most messages that wait to be written on one connection to a server when it is given another set-up.
 const MAX_QUEUED_MESSAGES: usize = 512;
 /// How often the tasks of connections may run before callers are disconnected because too much waits for them.
 const YIELDS_BEFORE_DISCONNECT: usize = 16;
@@ -43,9 +43,13 @@
     disconnects: mpsc::UnboundedReceiver<CallerId>,
     /// Callers whose eviction is in progress, which a message from them cancels.
     evicting: BTreeSet<CallerId>,
+    /// Callers that could not be evicted, which the core is yet to be told.
+    declined_evictions: Vec<CallerId>,
     max_callers: usize,
     /// Most bytes that may wait for all callers together.
     max_caller_output: usize,
+    /// Most bytes that may wait for all servers together.
+    max_server_output: usize,
     next_caller: CallerId,
     /// Buffer for the effects of one input.
     effects: Vec<Effect>,
@@ -84,20 +88,25 @@
             events,
             disconnects: disconnect_sender,
             caller_output: QueuedBytes::default(),
+            server_output: QueuedBytes::default(),
             drain_quota: Rc::new(DrainQuota::new(budget.draining)),
             clock,
             connect_timeout: Duration::from_nanos(site.connect_timeout_ns),
         };
         Driver {
-            core: NodeCore::new(site, budget.upstreams, clock.now(), seed),
+            core: NodeCore::new(site, budget.upstreams, clock.now(), seed)
+                .with_call_memory(budget.call_bytes),
             callers: BTreeMap::new(),
             upstreams: BTreeMap::new(),
             stop_requested_at: None,
             context,
             disconnects,
             evicting: BTreeSet::new(),
+            declined_evictions: Vec::new(),
             max_callers: budget.callers,
             max_caller_output: budget.caller_output_bytes,
+            // The queued copies of set-ups take up half of what is counted for their calls.
+            max_server_output: budget.server_output_bytes.saturating_add(budget.call_bytes / 2),
             next_caller: 1,
             effects: Vec::new(),
             malformed: BTreeMap::new(),
@@ -219,8 +228,16 @@
         }
     }
 
-    /// Feeds one input to the core and carries out the effects.
+    /// Feeds one input to the core and carries out the effects, and reports the evictions among them that were
+    /// declined.
     fn feed(&mut self, input: Input) {
+        self.feed_one(input);
+        while let Some(caller) = self.declined_evictions.pop() {
+            self.feed_one(Input::EvictionDeclined(caller));
+        }
+    }
+
+    fn feed_one(&mut self, input: Input) {
         let mut effects = std::mem::take(&mut self.effects);
         self.core.handle(self.context.clock.now(), input, &mut effects);
         for effect in effects.drain(..) {
@@ -301,16 +318,20 @@
             connection.outbox.close(CloseMode::IfIdle);
             self.evicting.insert(caller);
         } else {
-            self.feed_later(Input::EvictionDeclined(caller));
+            self.declined_evictions.push(caller);
         }
     }
 
+    /// Queues a message for a server. A set-up is dropped if too many messages wait on its connection, and any
+    /// message if too much waits for all servers.
     fn send_to_server(&self, upstream: UpstreamId, message: OutgoingMessage) {
         let Some(connection) = self.upstreams.get(&upstream) else { return };
-        if connection.outbox.queued().messages < MAX_QUEUED_MESSAGES {
-            connection.outbox.push(message);
-        } else {
+        let is_connection_full = connection.outbox.queued().messages >= MAX_QUEUED_MESSAGES;
+        let is_memory_full = self.context.server_output.get() > self.max_server_output;
+        if is_memory_full || (is_connection_full && message.not_after_ns.is_some()) {
             self.feed_later(Input::MessageDropped { upstream, message: message.number });
+        } else {
+            connection.outbox.push(message);
         }
     }
 
--- a/crates/lilacpitch-node/src/net/startup.rs
+++ b/crates/lilacpitch-node/src/net/startup.rs
@@ -11,10 +11,6 @@
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, watch};
 
-/// Most events that wait for the driver. While the queue is full, connections are not read. A small queue
-/// bounds the time that an event waits.
-const MAX_QUEUED_EVENTS: usize = 64;
-
 /// Why a node could not run.
 #[derive(Debug, Error)]
 pub enum RunError {
@@ -46,7 +42,7 @@
     let address = config.listen;
     let listener = TcpListener::bind(address).await.map_err(|error| RunError::Listen { address, error })?;
     let budget = config.limits.budget();
-    let (events, inbox) = mpsc::channel(MAX_QUEUED_EVENTS);
+    let (events, inbox) = mpsc::channel(budget.queued_events);
     let (coordinator, coordinator_changes) = watch::channel(config.coordinator);
     let driver = Driver::new(config.site, config.seed, budget, events.clone());
     tokio::task::spawn_local(poll_continuously(config.known, coordinator_changes, events));
--- a/crates/lilacpitch-node/src/signalling.rs
+++ b/crates/lilacpitch-node/src/signalling.rs
@@ -26,7 +26,8 @@
 /// Q.850 cause of a rejection: recovery on timer expiry.
 const CAUSE_TIMER_EXPIRED: u16 = 102;
 
-/// Capacity in bytes above which an empty buffer is freed, since most connections are idle most of the time.
+/// Unused capacity in bytes that a buffer may keep, beyond as much as it holds. It is small, since most
+/// connections are idle most of the time.
 const IDLE_CAPACITY_BYTES: usize = 4096;
 
 /// Why a line of a signalling server can't be decoded. The connection is to be closed, because what follows
@@ -55,9 +56,15 @@
 impl LineDecoder {
     /// Appends bytes read from the stream.
     pub fn feed(&mut self, bytes: &[u8]) {
+        self.buffer.reserve_exact(bytes.len());
         self.buffer.extend_from_slice(bytes);
     }
 
+    /// Returns how many bytes can be fed before the buffer holds more than the longest line.
+    pub fn free_bytes(&self) -> usize {
+        MAX_LINE_BYTES.saturating_sub(self.buffer.len())
+    }
+
     /// Returns the next complete line without its end, or `None` until more bytes arrive.
     ///
     /// # Errors
@@ -74,8 +81,8 @@
         let mut line: Vec<u8> = self.buffer.drain(..=end).collect();
         line.pop();
         self.scanned = 0;
-        if self.buffer.is_empty() && self.buffer.capacity() > IDLE_CAPACITY_BYTES {
-            self.buffer = Vec::new();
+        if self.buffer.capacity() > 2 * self.buffer.len() + IDLE_CAPACITY_BYTES {
+            self.buffer.shrink_to_fit();
         }
         Ok(Some(line))
     }
--- a/crates/lilacpitch-node/tests/limits.rs
+++ b/crates/lilacpitch-node/tests/limits.rs
@@ -16,6 +16,20 @@
     }
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn memory_shares_leave_an_eighth_of_the_limit(sockets in 64usize..100_000, memory_mb in 8u64..100_000) {
+        let budget = Limits { sockets, memory_mb: Some(memory_mb) }.budget();
+        // A connection holds a partial message of up to 16 KiB, and an event a whole one.
+        let connections = (budget.callers + budget.upstreams) * 24 * 1024;
+        let queued = budget.caller_output_bytes + budget.server_output_bytes + budget.queued_events * 20 * 1024;
+        let total = (connections + queued + budget.call_bytes) as u64;
+        prop_assert!(total <= memory_mb * 1024 * 1024 / 8 * 7, "{total} {budget:?}");
+    }
+}
+
 #[test]
 fn callers_get_a_third_of_the_descriptors_at_the_platforms_limits() {
     // By the platform's protocol page, callers use at most a third of the descriptor limit. The memory limits
--- a/crates/lilacpitch-sip/src/decoder.rs
+++ b/crates/lilacpitch-sip/src/decoder.rs
@@ -9,7 +9,8 @@
 
 /// Longest message in bytes, head and body together.
 pub const MAX_MESSAGE_BYTES: usize = 16 * 1024;
-/// Capacity in bytes above which an empty buffer is freed, since most connections are idle most of the time.
+/// Unused capacity in bytes that a buffer may keep, beyond as much as it holds. It is small, since most
+/// connections are idle most of the time.
 const IDLE_CAPACITY_BYTES: usize = 4096;
 
 /// Why a stream can't be decoded any further: its peer sent something malformed or too long. If the head
@@ -51,7 +52,7 @@
 }
 
 /// Decodes the messages of one stream.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Decoder {
     buffer: Vec<u8>,
     /// A message whose head was parsed and whose body is incomplete, with the body's length in bytes.
@@ -61,9 +62,21 @@
 impl Decoder {
     /// Appends bytes read from the stream.
     pub fn feed(&mut self, bytes: &[u8]) {
+        // Without spare capacity, which would double the memory of many connections with partial messages.
+        self.buffer.reserve_exact(bytes.len());
         self.buffer.extend_from_slice(bytes);
     }
 
+    /// Returns the bytes that were fed and are not decoded.
+    pub fn unread(&self) -> &[u8] {
+        &self.buffer
+    }
+
+    /// Returns how many bytes can be fed before the buffer holds more than the longest message.
+    pub fn free_bytes(&self) -> usize {
+        MAX_MESSAGE_BYTES.saturating_sub(self.buffer.len())
+    }
+
     /// Whether a message has begun and is incomplete.
     pub fn has_partial_message(&self) -> bool {
         self.partial.is_some() || !self.buffer.is_empty()
@@ -96,8 +109,8 @@
     /// Removes bytes from the front of the buffer.
     fn consume(&mut self, count: usize) {
         self.buffer.drain(..count);
-        if self.buffer.is_empty() && self.buffer.capacity() > IDLE_CAPACITY_BYTES {
-            self.buffer = Vec::new();
+        if self.buffer.capacity() > 2 * self.buffer.len() + IDLE_CAPACITY_BYTES {
+            self.buffer.shrink_to_fit();
         }
     }
 }
