Release calls that ended before their callers have named them to a restarted front node

Cause: a server sends a release once on the next connection. The node opened it for another caller and dropped the releases of calls that no caller had named yet; the calls were adopted as standing afterwards. Related: a call that the node held was not moved to the connection on which it was named again.

Change: ends of calls are kept for 30 s with their server, the known ones too, within an eighth of the memory for calls; naming such a call releases it at once. The newest connection that names a standing call gets its release.

--- a/crates/lilacpitch-edge/tests/node/active_calls.rs
+++ b/crates/lilacpitch-edge/tests/node/active_calls.rs
@@ -104,3 +104,55 @@
     caller.request("CANCEL", &id(1));
     assert_eq!(server.next("stop").uid(), id(1));
 }
+
+/// Guards against calls that stay unreleased for good after a restart: a server sends the release of a call that
+/// ended meanwhile on the next connection, before the call's caller has come back and named it.
+#[test]
+fn releases_a_call_that_ended_before_it_was_named() {
+    let (server, other) = (Server::start(), Server::start());
+    let node = Node::start(&[&server, &other]);
+    let mut first = node.caller();
+    let launch = server.establish(&mut first, 1);
+    first.invite(&id(2), 1, 3_000);
+    let at_other = other.next("launch");
+    other.answer(&at_other, "there");
+    assert_eq!(first.next().unwrap().body, "there");
+    (100..150).for_each(|call| server.stop(launch.connection, &id(call), 16, json!({})));
+    server.stop(launch.connection, &id(150), 41, json!({}));
+    // Not the end of a call that stands at the first server.
+    other.stop(at_other.connection, &id(151), 16, json!({}));
+    std::thread::sleep(ms(200));
+    let mut owner = node.caller();
+    (100..152).for_each(|call| owner.send(&invite(&id(call), "dest:-1;at:s0", 3_000, BODY)));
+    let released = owner.all_within(ms(1_000));
+    let mut calls: Vec<_> = released.iter().map(|message| message.call().to_string()).collect();
+    calls.sort_unstable();
+    assert_eq!(calls, (100..151).map(id).collect::<Vec<_>>());
+    let cause =
+        |call: u64| &released.iter().find(|message| message.call() == id(call)).unwrap().fields["reason"];
+    assert_eq!((cause(100).as_str(), cause(150).as_str()), ("Q.850;cause=16", "Q.850;cause=41"));
+    // The call that stands is released when its own server ends it.
+    server.stop(launch.connection, &id(151), 16, json!({}));
+    let message = owner.next().unwrap();
+    assert!(message.is_bye() && message.call() == id(151), "{message:?}");
+}
+
+/// Guards against a release that is sent on a caller's former connection only, where nobody may read it.
+#[test]
+fn releases_a_call_on_the_connection_that_named_it_last() {
+    let server = Server::start();
+    let node = Node::start(&[&server]);
+    let (_former, connection) = establish(&server, &node, 1);
+    let mut named = node.caller();
+    named.send(&invite(&id(1), "dest:-1;at:s0", 3_000, BODY));
+    std::thread::sleep(ms(100));
+    server.stop(connection, &id(1), 16, json!({}));
+    let message = named.next().unwrap();
+    assert!(message.is_bye() && message.call() == id(1), "{message:?}");
+    // A release may be lost with the connection on which it was sent, so a caller that names the call once more
+    // gets it again.
+    let mut later = node.caller();
+    later.send(&invite(&id(1), "dest:-1;at:s0", 3_000, BODY));
+    let message = later.next().unwrap();
+    assert!(message.is_bye() && message.call() == id(1), "{message:?}");
+}
--- a/crates/lilacpitch-node/src/core/active_calls.rs
+++ b/crates/lilacpitch-node/src/core/active_calls.rs
@@ -23,7 +23,8 @@
     ) {
         self.callers.entry(caller).and_modify(|caller| caller.is_verified = true);
         self.send_waiting_releases(caller, effects);
-        if self.calls_by_wire_id.contains_key(&wire_id) {
+        if let Some(id) = self.calls_by_wire_id.get(&wire_id).copied() {
+            self.move_to_caller(id, caller);
             return;
         }
         let Some(server) = server else {
@@ -31,6 +32,9 @@
             self.release_to_caller(caller, Release { wire_id, cause: CAUSE_CUT }, effects);
             return;
         };
+        if self.release_ended_call(caller, wire_id, server, effects) {
+            return;
+        }
         if !self.has_memory_to_adopt() {
             self.counters.not_adopted += 1;
             return;
@@ -59,6 +63,12 @@
         self.ensure_connection(server, effects);
     }
 
+    /// Has the end of an established call reported on the connection on which its caller has named it last.
+    fn move_to_caller(&mut self, id: CallId, caller: CallerId) {
+        let established = self.calls.get_mut(&id).filter(|call| call.is_established());
+        established.into_iter().for_each(|call| call.caller = caller);
+    }
+
     /// Ends an established call that its server has ended.
     pub(super) fn end_call_by_server(
         &mut self,
@@ -69,6 +79,7 @@
     ) {
         let outcome = if cause == CAUSE_NORMAL { Outcome::Completed } else { Outcome::Cut };
         let Some((call, attempt)) = self.remove_active_call(id) else { return };
+        self.record_ended_call(call.wire_id, attempt.server, cause);
         self.release_to_caller(call.caller, Release { wire_id: call.wire_id, cause }, effects);
         self.record_outcome(attempt.id(id), outcome, true, report);
     }
@@ -84,6 +95,7 @@
     /// Ends an established call that its caller has ended.
     pub(super) fn end_call_by_caller(&mut self, id: CallId, effects: &mut Vec<Effect>) {
         let Some((call, attempt)) = self.remove_active_call(id) else { return };
+        self.record_ended_call(call.wire_id, attempt.server, CAUSE_NORMAL);
         self.release_at_server(attempt, call.wire_id, effects);
         self.record_outcome(attempt.id(id), Outcome::Completed, true, LoadReport::default());
     }
--- a/crates/lilacpitch-node/src/core/call_memory.rs
+++ b/crates/lilacpitch-node/src/core/call_memory.rs
@@ -6,12 +6,15 @@
 //! take up no more than an equal part each, and there is always room for one that has few.
 
 use super::calls::SetupRequest;
+use super::ended_calls::ENDED_CALL_BYTES;
 use super::{CallerId, NodeCore};
 
 /// Memory of the records of one call in the tables of the core and the controller, in bytes.
 const CALL_RECORD_BYTES: usize = 1024;
 /// Memory of one release that waits for a caller, in bytes.
 const WAITING_RELEASE_BYTES: usize = 32;
+/// One in this many bytes of the memory for calls may be taken up by ended ones.
+const ENDED_CALLS_FRACTION: usize = 8;
 
 /// The memory that is charged to calls, in bytes.
 #[derive(Debug)]
@@ -42,7 +45,13 @@
     /// Returns the memory that is left for calls.
     fn free_call_memory(&self) -> usize {
         let waiting = self.waiting_releases.len() * WAITING_RELEASE_BYTES;
-        self.call_memory.limit.saturating_sub(self.call_memory.used).saturating_sub(waiting)
+        let ended = self.ended_calls.len() * ENDED_CALL_BYTES;
+        self.call_memory.limit.saturating_sub(self.call_memory.used).saturating_sub(waiting + ended)
+    }
+
+    /// Returns how many ended calls may be kept.
+    pub(super) fn max_ended_calls(&self) -> usize {
+        self.call_memory.limit / ENDED_CALLS_FRACTION / ENDED_CALL_BYTES
     }
 
     /// Returns the memory of an open call of this request, whose message for a server has `line_bytes`.
--- a/crates/lilacpitch-node/src/core/calls.rs
+++ b/crates/lilacpitch-node/src/core/calls.rs
@@ -69,6 +69,7 @@
             charged_bytes,
         };
         self.charge_open_call(caller, charged_bytes);
+        self.ended_calls.remove(request.wire_id);
         self.calls.insert(id, call);
         self.open_calls += 1;
         self.calls_by_wire_id.insert(request.wire_id, id);
--- a/crates/lilacpitch-node/src/core/health_checks.rs
+++ b/crates/lilacpitch-node/src/core/health_checks.rs
@@ -18,13 +18,14 @@
 pub(super) const UNREACHABLE_NS: Nanos = 3_000_000_000;
 
 impl NodeCore {
-    /// Checks all servers, and removes expired entries of cancelled set-ups and retired wire ids.
+    /// Checks all servers, and removes expired entries of cancelled set-ups, retired wire ids and ended calls.
     pub(super) fn sweep_servers(&mut self, effects: &mut Vec<Effect>) {
         let now = self.now;
         for upstream in self.upstreams.values_mut() {
             upstream.cancelled.retain(|_, until_ns| now < *until_ns);
         }
         self.retired_wire_ids.retain(|_, until_ns| now < *until_ns);
+        self.ended_calls.expire(now);
         let ids: Vec<ServerId> = self.servers.keys().copied().collect();
         for id in ids {
             let Some(server) = self.servers.get(&id) else { continue };
--- a/crates/lilacpitch-node/src/core/mod.rs
+++ b/crates/lilacpitch-node/src/core/mod.rs
@@ -14,6 +14,7 @@
 mod callers;
 mod calls;
 mod counters;
+mod ended_calls;
 mod endpoint_list;
 mod health_checks;
 mod path;
@@ -29,6 +30,7 @@
 use crate::coordinator::Endpoints;
 use crate::signalling::ServerMessage;
 use call_memory::CallMemory;
+use ended_calls::EndedCalls;
 use lilacpitch::interface::{Action, CallId, Nanos, ServerId};
 use lilacpitch::settings::Site;
 use lilacpitch::{Controller, Event};
@@ -158,6 +160,7 @@
     next_server: ServerId,
     next_upstream: UpstreamId,
     waiting_releases: WaitingReleases,
+    ended_calls: EndedCalls,
     /// Wire ids of ended calls that a server has had, and until when their ends may still arrive from it.
     retired_wire_ids: BTreeMap<u64, Nanos>,
     /// Events that the controller has yet to handle, among them those caused by its own actions.
@@ -200,6 +203,7 @@
             next_server: 1,
             next_upstream: 1,
             waiting_releases: WaitingReleases::default(),
+            ended_calls: EndedCalls::default(),
             retired_wire_ids: BTreeMap::new(),
             pending_events: VecDeque::new(),
             actions: Vec::new(),
@@ -294,6 +298,7 @@
             ("cancelled set-ups", self.upstreams.values().map(|upstream| upstream.cancelled.len()).sum()),
             ("timers", self.timers.len()),
             ("waiting releases", self.waiting_releases.len()),
+            ("ended calls", self.ended_calls.len()),
             ("retired wire ids", self.retired_wire_ids.len()),
             ("releases to servers", self.upstreams.values().map(|upstream| upstream.releases.len()).sum()),
         ];
--- a/crates/lilacpitch-node/src/core/server_messages.rs
+++ b/crates/lilacpitch-node/src/core/server_messages.rs
@@ -70,7 +70,8 @@
             self.record_seen(server);
             self.end_call_by_server(call, cause, report, effects);
         } else {
-            // The rejection of a cancelled set-up, or the end of a call that is already over.
+            // The rejection of a cancelled set-up, the end of a call that is already over, or that of one which
+            // no caller has reported yet.
             tracing::trace!(
                 wire_id = %format_args!("{wire_id:016x}"),
                 cause,
@@ -79,7 +80,10 @@
                 "late stop unmatched"
             );
             let cancelled = self.upstreams.get_mut(&id).and_then(|up| up.cancelled.remove(&wire_id));
-            self.counters.unmatched += u64::from(cancelled.is_none());
+            if cancelled.is_none() {
+                self.counters.unmatched += 1;
+                self.record_unknown_end(wire_id, server, cause);
+            }
             self.pending_events.push_back(Event::ServerLoadReported { server, report });
         }
     }
--- a/crates/lilacpitch-node/tests/ends.rs
+++ b/crates/lilacpitch-node/tests/ends.rs
@@ -5,6 +5,7 @@
 use common::{answer_line, config, endpoints, request, stop_line, target, wire_id, MS, START_NS};
 use lilacpitch_node::core::{Effect, Input, NodeCore, Release, UpstreamId};
 use lilacpitch_node::signalling::ServerMessage;
+use lilacpitch_sip::Decoder;
 use serde_json::{json, Value};
 
 /// A node with one server, in virtual time.
@@ -61,6 +62,18 @@
         upstream
     }
 
+    /// Names a call as established at the server.
+    fn name_call(&mut self, caller: u64, call: u64) -> Vec<Effect> {
+        let text = format!(
+            "INVITE sip:1@net SIP/2.0\r\nCall-ID: {call:016x}\r\nCSeq: 1 INVITE\r\nP-Kind: plain\r\n\
+             P-Path: at:s-0\r\nContent-Length: 0\r\n\r\n"
+        );
+        let mut decoder = Decoder::default();
+        decoder.feed(text.as_bytes());
+        let message = decoder.next_message().unwrap().unwrap();
+        self.feed(Input::CallerMessage(caller, message))
+    }
+
     /// Ends a call by its server.
     fn end_call(&mut self, upstream: UpstreamId, call: u64) -> Vec<Effect> {
         self.feed_line(upstream, &stop_line(&wire_id(call), 16, json!({})))
@@ -267,3 +280,30 @@
     calls.sort_unstable();
     assert_eq!(calls, (1..=CALLS).collect::<Vec<_>>());
 }
+
+#[test]
+fn keeps_a_limited_number_of_ends_of_unknown_calls_for_a_limited_time() {
+    const ENDS: u64 = 20_000;
+    const CALL_MEMORY: usize = 1024 * 1024;
+    let mut node = OneServerNode::new();
+    node.core = NodeCore::new(config().site, 4, START_NS, 3).with_call_memory(CALL_MEMORY);
+    for endpoints in endpoints(1, true, vec![target(0, 1000, "in_service", 0)]) {
+        node.feed(Input::EndpointsUpdated(endpoints));
+    }
+    node.connect_caller(1);
+    let upstream = node.establish(1, ENDS + 1);
+    (1..=ENDS).for_each(|call| assert_eq!(releases(&node.end_call(upstream, call)), []));
+    let kept = |node: &OneServerNode| {
+        let sizes = node.core.sizes();
+        sizes.iter().find(|(name, _)| *name == "ended calls").map(|(_, size)| *size).unwrap()
+    };
+    assert!(kept(&node) * 64 < CALL_MEMORY / 4, "{} ends are kept", kept(&node));
+    // The newest are kept, the oldest forgotten: such a call is adopted.
+    let released = Release { wire_id: ENDS, cause: 16 };
+    assert_eq!(releases(&node.name_call(1, ENDS)), [(1, released)]);
+    assert_eq!(releases(&node.name_call(1, 1)), []);
+    assert_eq!(node.core.counters().adopted, 1);
+    node.now += 31_000 * MS;
+    node.feed(Input::Timeout);
+    assert_eq!(kept(&node), 0);
+}
