Don't take a stall of the process, or a busy owner, for a caller that doesn't read

Which of the timer and the socket was looked at first afterwards was left to chance.

Change: the time starts anew after messages were delivered, and at its end the connection writes once more before it gives the peer up; the same in the WebSocket edge.

Before: the new test in connection.rs failed ('early eof': the connection was ended under a peer that reads).

--- a/crates/lilacpitch-edge/src/net/connection.rs
+++ b/crates/lilacpitch-edge/src/net/connection.rs
@@ -231,7 +231,16 @@
                     self.encode(&mut batch, buffer, on_event).await;
                 }
                 _ = tokio::time::sleep_until(stall_deadline.unwrap_or_else(Instant::now)), if stall_deadline.is_some() => {
-                    return EndCause::NotReading;
+                    // This process may have stalled, and not the other end: lets the runtime poll the socket.
+                    tokio::task::yield_now().await;
+                    match writer.try_write(buffer.unwritten()) {
+                        Ok(count) if count > 0 => {
+                            buffer.record_written(count);
+                            stalled_since = None;
+                        }
+                        _ if buffer.bytes.is_empty() => stalled_since = None,
+                        _ => return EndCause::NotReading,
+                    }
                 }
                 _ = tokio::time::sleep(quiet), if self.quiet.is_some() => {
                     if is_ping_pending {
--- a/crates/lilacpitch-net/src/connection.rs
+++ b/crates/lilacpitch-net/src/connection.rs
@@ -213,7 +213,10 @@
                     return EndReason::Read(error);
                 }
             }
-            match self.deliver_messages(peer, on_event).await {
+            let delivery = self.deliver_messages(peer, on_event).await;
+            // Nothing was written while the owner was busy, whether or not the peer reads.
+            peer.stalled_since = None;
+            match delivery {
                 Ok(count) => self.update_read_deadline(&mut read_deadline, count),
                 Err(reason) => return reason,
             }
@@ -269,8 +272,27 @@
                 Step::Continue
             }
             () = sleep_until(stall_deadline), if stall_deadline.is_some() => {
-                Step::End(EndReason::NotReading)
+                self.step_after_stall(peer, on_event).await
+            }
+        }
+    }
+
+    /// Ends the connection of a peer that has accepted nothing for too long, unless it does now: this process
+    /// may have stalled, and not the peer.
+    async fn step_after_stall(
+        &mut self,
+        peer: &mut PeerState<impl Fn()>,
+        on_event: &mut impl AsyncFnMut(ConnectionEvent<C::Message>) -> bool,
+    ) -> Step<C::Error> {
+        // Lets the runtime poll the socket.
+        tokio::task::yield_now().await;
+        match self.write_queue(Ok(())) {
+            Ok(progress) if progress.accepted_bytes > 0 => {
+                peer.stalled_since = None;
+                self.report_progress(progress, on_event).await
             }
+            Ok(_) => Step::End(EndReason::NotReading),
+            Err(reason) => Step::End(reason),
         }
     }
 
--- a/crates/lilacpitch-net/tests/connection.rs
+++ b/crates/lilacpitch-net/tests/connection.rs
@@ -463,3 +463,32 @@
         assert_eq!((end.reason.to_string().as_str(), drained.get()), ("peer does not read", 1));
     });
 }
+
+#[test]
+fn keeps_a_peer_that_reads_while_its_owner_is_busy_for_longer_than_the_stall_timeout() {
+    run_local(|| async {
+        // Whether the connection ends depends on the order in which it looks at what is ready.
+        for _ in 0..8 {
+            let limits = WriteLimits { pause_reading_bytes: usize::MAX, ..WRITE_LIMITS };
+            let mut connection = TestConnection::with_write_limits(Some(limits)).await;
+            connection.is_processing.set(false);
+            connection.fill_socket().await;
+            connection.outbox.report_when_empty();
+            connection.push(b'b', 1, None);
+            tokio::time::sleep(WRITE_LIMITS.stall_timeout / 4).await;
+            connection.peer.write_all(b"one\n").await.unwrap();
+            wait_until(|| connection.outbox.unprocessed() > 0).await;
+            // Reads all that was sent, so that the socket accepts more.
+            let (mut chunk, mut read) = (vec![0; LONG_BYTES], 0);
+            let timeout = 2 * WRITE_LIMITS.stall_timeout;
+            while let Ok(count) = tokio::time::timeout(timeout, connection.peer.read(&mut chunk)).await {
+                read += count.unwrap();
+            }
+            connection.resume_processing();
+            connection.read_line(LONG_BYTES - read).await;
+            connection.read_line(1).await;
+            let drained = connection.drained.clone();
+            wait_until(|| drained.get() == 1).await;
+        }
+    });
+}
