Offer a server new connections while it may send ends of calls on a silent one

Cause: the node closes the silent connection unnoticed by the server, which sends an end on the call's connection or any that it holds to be open, and on the next one that is opened; the node opened none while it had others.

Change: once a silent connection to a server was closed, a new one every 2 s while calls stand there whose own connection is closed; of four open ones the one with the fewest calls gives way.

Before: the new test of active_calls.rs failed ('no connection is opened').

--- a/crates/lilacpitch-edge/tests/node/active_calls.rs
+++ b/crates/lilacpitch-edge/tests/node/active_calls.rs
@@ -156,3 +156,47 @@
     let message = later.next().unwrap();
     assert!(message.is_bye() && message.call() == id(1), "{message:?}");
 }
+
+/// Guards against calls that stay unreleased for good because their server sends their ends on a connection that
+/// has fallen silent: the node closed it and had others, so it opened none on which the server would send them too.
+#[test]
+fn offers_a_new_connection_while_calls_stand_that_were_set_up_on_a_silent_one() {
+    let server = Server::start();
+    let node = Node::start(&[&server]);
+    let (mut caller, silent) = establish(&server, &node, 1);
+    // Nothing is answered on that connection any more, until the node closes it. The server does not notice.
+    let mut call = 1;
+    let is_closed = |line: &ServerLine| line.connection == silent && line.value.is_none();
+    let until = std::time::Instant::now() + TIMEOUT;
+    loop {
+        assert!(std::time::Instant::now() < until, "the silent connection is not closed");
+        call += 1;
+        caller.invite(&id(call), 0, 3_000);
+        let lines = server.all_within(ms(100));
+        let setups = lines.iter().filter(|line| line.kind() == "launch" && line.connection != silent);
+        setups.for_each(|setup| server.answer(setup, "there"));
+        if lines.iter().any(is_closed) {
+            break;
+        }
+    }
+    // The server is well on its other connections.
+    let report_load = || {
+        let usage = json!({"kind": "usage", "meta": {"load": "x0:900;x1:1000"}});
+        let others = (0..server.connection_count()).filter(|connection| *connection != silent);
+        others.for_each(|connection| server.send_line(connection, usage.clone()));
+        std::thread::sleep(ms(50));
+    };
+    (0..10).for_each(|_| report_load());
+    // The end of the first call can only be sent on a connection that is opened from now on.
+    let before = server.connection_count();
+    let until = std::time::Instant::now() + ms(6_000);
+    while server.connection_count() == before {
+        assert!(std::time::Instant::now() < until, "no connection is opened");
+        report_load();
+    }
+    server.stop(before, &id(1), 16, json!({}));
+    let until = std::time::Instant::now() + ms(1_000);
+    while !caller.next().is_some_and(|message| message.is_bye() && message.call() == id(1)) {
+        assert!(std::time::Instant::now() < until, "not released");
+    }
+}
--- a/crates/lilacpitch-node/src/core/endpoint_list.rs
+++ b/crates/lilacpitch-node/src/core/endpoint_list.rs
@@ -97,6 +97,8 @@
             boot_ms: target.boot_ms,
             upstreams: Vec::new(),
             active_calls: BTreeSet::new(),
+            had_silent_upstream: false,
+            reconnected_ns: 0,
             last_seen_ns: self.now,
             unreachable_since_ns: None,
         };
--- a/crates/lilacpitch-node/src/core/health_checks.rs
+++ b/crates/lilacpitch-node/src/core/health_checks.rs
@@ -5,13 +5,17 @@
 //! connection, goes unnoticed. The settings may forbid probes, so health is derived from new connections and
 //! from answers to set-ups.
 
-use super::records::Server;
+use super::records::{Attempt, AttemptState, Server};
 use super::upstreams::MAX_UPSTREAMS_PER_SERVER;
 use super::{Effect, NodeCore, UpstreamId};
 use lilacpitch::interface::{Nanos, ServerId};
 
 /// A server with established calls that has sent nothing for this long is checked by a new connection.
 const QUIET_NS: Nanos = 1_500_000_000;
+/// A server that may send the ends of calls on a silent connection is offered a new one at this interval, since
+/// it sends them on the next connection as well. The platform's protocol page requires a release within 8 s of
+/// an end.
+const SILENT_RECONNECT_NS: Nanos = 2_000_000_000;
 /// A server to which no connection could be made for this long is considered gone, unless it has sent
 /// something recently (see [`is_unreachable`]). The platform's protocol page requires that the callers of its
 /// calls get their releases within 8 s.
@@ -35,6 +39,7 @@
                 self.reconnect(id, effects);
             }
             self.close_unresponsive(id, effects);
+            self.reconnect_after_silence(id, effects);
             self.forget_removed_server(id, effects);
         }
     }
@@ -56,8 +61,8 @@
         }
     }
 
-    /// Opens a new connection to check whether a server is running. If no more may be open, the oldest one
-    /// without set-ups is closed first.
+    /// Opens a new connection to check whether a server is running. If no more may be open, the one
+    /// without set-ups on which the fewest calls were established is closed first.
     fn reconnect(&mut self, id: ServerId, effects: &mut Vec<Effect>) {
         let Some(server) = self.servers.get(&id) else { return };
         let is_connecting = |id: &UpstreamId| self.upstreams.get(id).is_some_and(|up| !up.is_up);
@@ -66,8 +71,10 @@
         }
         if server.upstreams.len() >= MAX_UPSTREAMS_PER_SERVER {
             let is_idle = |id: &&UpstreamId| self.upstreams.get(id).is_some_and(|up| up.setups.is_empty());
-            let Some(idle) = server.upstreams.iter().find(is_idle).copied() else { return };
-            self.close_upstream(idle, effects);
+            let idle = server.upstreams.iter().filter(is_idle).copied();
+            let call_count = |idle: &UpstreamId| self.count_calls(server, |upstream| upstream == *idle);
+            let Some(closed) = idle.min_by_key(call_count) else { return };
+            self.close_upstream(closed, effects);
         }
         self.open_upstream(id, effects);
     }
@@ -107,9 +114,34 @@
             self.upstreams.get(id).is_some_and(|up| up.is_unresponsive && up.setups.is_empty())
         };
         let closed: Vec<_> = server.upstreams.iter().filter(is_closed).copied().collect();
-        closed.into_iter().for_each(|upstream| self.close_upstream(upstream, effects));
+        for upstream in closed {
+            self.servers.entry(id).and_modify(|server| server.had_silent_upstream = true);
+            self.close_upstream(upstream, effects);
+        }
         self.ensure_connection(id, effects);
     }
+
+    /// Returns how many of a server's calls were established on a connection that fulfils a condition.
+    fn count_calls(&self, server: &Server, is_counted: impl Fn(UpstreamId) -> bool) -> usize {
+        let attempts = server.active_calls.iter().filter_map(|call| self.calls.get(call)?.attempt);
+        let is_counted = |attempt: &Attempt| match attempt.state {
+            AttemptState::Established(upstream) => is_counted(upstream),
+            _ => false,
+        };
+        attempts.filter(is_counted).count()
+    }
+
+    /// Opens a new connection to a server now and then, while calls stand whose ends it may send on a
+    /// connection that has fallen silent.
+    fn reconnect_after_silence(&mut self, id: ServerId, effects: &mut Vec<Effect>) {
+        let Some(server) = self.servers.get(&id).filter(|server| server.had_silent_upstream) else { return };
+        let is_due = self.now - server.reconnected_ns >= SILENT_RECONNECT_NS;
+        if is_due && self.count_calls(server, |upstream| !self.is_upstream_up(upstream)) > 0 {
+            let now = self.now;
+            self.servers.entry(id).and_modify(|server| server.reconnected_ns = now);
+            self.reconnect(id, effects);
+        }
+    }
 }
 
 /// Whether a server has sent nothing and no connection to it could be made for too long. A connection that
--- a/crates/lilacpitch-node/src/core/records.rs
+++ b/crates/lilacpitch-node/src/core/records.rs
@@ -124,6 +124,11 @@
     pub upstreams: Vec<UpstreamId>,
     /// Calls established there.
     pub active_calls: BTreeSet<CallId>,
+    /// Whether an unresponsive connection to it was closed. If the server does not notice the close, it may send
+    /// there the ends of calls whose own connection is closed.
+    pub had_silent_upstream: bool,
+    /// When a connection was last opened on account of `had_silent_upstream`; 0 before.
+    pub reconnected_ns: Nanos,
     /// When a message or a new connection last showed that it was running.
     pub last_seen_ns: Nanos,
     /// Since when connections to it have failed; `None` if it was seen afterwards.
