Refuse figures in P-Path that are not finite

A set-up with via:nan, via:inf or via:1e999 was served (review): the values of fields that are ignored were parsed as any number.

--- a/crates/lilacpitch-node/src/core/path.rs
+++ b/crates/lilacpitch-node/src/core/path.rs
@@ -56,7 +56,7 @@
             }
             "at" => self.established_at = Some(value.to_string()),
             // Other values are ignored, but must be numbers.
-            _ => drop(value.parse::<f64>().map_err(|_| BAD_PATH)?),
+            _ => drop(value.parse().ok().filter(|number: &f64| number.is_finite()).ok_or(BAD_PATH)?),
         }
         Ok(())
     }
