--- a/crates/lilacpitch-node/src/config.rs
+++ b/crates/lilacpitch-node/src/config.rs
@@ -101,8 +101,6 @@
 const MIN_MEMORY_MB: u64 = 8;
 /// Memory of one connection in KiB: the longest incomplete message, and the state of its task.
 const KIB_PER_CONNECTION: usize = 24;
-/// Memory of one closed connection that is draining, in KiB: the state of its task, and a last response.
-const KIB_PER_DRAINING_CONNECTION: usize = 8;
 /// Memory of one event that waits for the driver in KiB: the longest message, decoded.
 const KIB_PER_EVENT: usize = 20;
 /// Most events that wait for the driver. While the queue is full, connections are not read. A small queue
@@ -116,9 +114,7 @@
 /// Shares for what waits to be written to callers.
 const CALLER_OUTPUT_SHARES: usize = 4;
 /// Shares for calls.
-const CALL_SHARES: usize = 7;
-/// Shares for closed connections that are draining.
-const DRAINING_SHARES: usize = 1;
+const CALL_SHARES: usize = 8;
 /// Shares for connections to servers.
 const UPSTREAM_SHARES: usize = 4;
 /// Shares for what waits to be written to servers.
@@ -139,9 +135,7 @@
         let connections = |shares: usize| self.memory_bytes(shares) / (KIB_PER_CONNECTION * 1024);
         let upstreams = (self.sockets / UPSTREAM_FRACTION).min(connections(UPSTREAM_SHARES));
         let remaining = self.sockets.saturating_sub(upstreams).saturating_sub(RESERVED_SOCKETS);
-        let draining_memory = self.memory_bytes(DRAINING_SHARES);
-        let draining =
-            (remaining / DRAINING_FRACTION).min(draining_memory / (KIB_PER_DRAINING_CONNECTION * 1024));
+        let draining = remaining / DRAINING_FRACTION;
         let events = self.memory_bytes(EVENT_SHARES) / (KIB_PER_EVENT * 1024);
         Budget {
             callers: (remaining - draining).min(connections(CALLER_SHARES)),
