Apply commands at a site in one step, so that none is applied twice

Commands reach a process below the root in the response to its lease request and in requests of its parent. Each path selected the next commands under the lock of the lease holder, released it, and applied them one by one. With the same commands in both at the same time, the second path met the assertion 'commands are applied without gaps', which ended the task that renews the lease for good; without debug assertions the commands were appended twice, and the process acknowledged commands that it had never received.

The lease holder stays locked until the commands are applied, also for a reset.

--- a/crates/lilacpitch-site/src/command_log.rs
+++ b/crates/lilacpitch-site/src/command_log.rs
@@ -6,6 +6,7 @@
 use crate::log::Command;
 use crate::process::Process;
 use lilacpitch_fleet::ack_aggregator::{ChildId, MissingCommands};
+use lilacpitch_fleet::lease_holder::LeaseHolder;
 use lilacpitch_fleet::message::{FleetCommand, LogPosition, Request, Response};
 use lilacpitch_rpc::RpcConnection;
 use std::sync::Arc;
@@ -95,25 +96,30 @@
             let _ = tokio::time::timeout(LOG_TIMEOUT, changed.wait_for(has_arrived)).await;
             return Response::Applied(self.ack_aggregator.lock().position());
         }
-        let next = self.lease_holder.lock().select_next_commands(log, commands);
-        match next {
-            Ok(next) => self.apply_commands(next),
+        let mut lease_holder = self.lease_holder.lock();
+        match lease_holder.select_next_commands(log, commands) {
+            Ok(next) => self.apply_commands(&mut lease_holder, next),
             Err(error) => tracing::debug!(%error, "commands rejected"),
         }
-        Response::Applied(self.lease_holder.lock().position().unwrap_or_default())
+        Response::Applied(lease_holder.position().unwrap_or_default())
     }
 
     /// Applies the next commands. A process of a site caches no answers, so it only advances its position and
     /// retains the commands for its children.
-    pub(crate) fn apply_commands(&self, commands: Vec<FleetCommand>) {
+    ///
+    /// The caller has locked the lease holder since these commands were selected: two messages that bring the
+    /// same commands must not apply them twice.
+    pub(crate) fn apply_commands(&self, lease_holder: &mut LeaseHolder, commands: Vec<FleetCommand>) {
         if commands.is_empty() {
             return;
         }
         let now = now();
+        let mut ack_aggregator = self.ack_aggregator.lock();
         for command in commands {
-            self.lease_holder.lock().record_applied(&command);
-            self.ack_aggregator.lock().append_command(now, command.action);
+            lease_holder.record_applied(&command);
+            ack_aggregator.append_command(now, command.action);
         }
+        drop(ack_aggregator);
         self.announce_commands();
     }
 
--- a/crates/lilacpitch-site/src/lease_client.rs
+++ b/crates/lilacpitch-site/src/lease_client.rs
@@ -5,7 +5,7 @@
 use crate::clock::{now, wall_clock_ms};
 use crate::log::Command;
 use crate::process::Process;
-use lilacpitch_fleet::lease_holder::LeaseUpdate;
+use lilacpitch_fleet::lease_holder::{LeaseHolder, LeaseUpdate};
 use lilacpitch_fleet::log_tail::LogTail;
 use lilacpitch_fleet::message::{Request, Response};
 use lilacpitch_rpc::Dialer;
@@ -125,14 +125,18 @@
         Response::LeaseGranted { for_ns, position, .. } => Some((requested_ns + for_ns, *position)),
         _ => None,
     };
-    let update = process.lease_holder.lock().handle_response(requested_ns, response);
-    match update {
-        LeaseUpdate::Commands(commands) => process.apply_commands(commands),
-        LeaseUpdate::Reset => {
-            reset_command_log(process);
-            return true;
+    {
+        // Locked until the commands are applied, since the parent may send the same ones in a request of its
+        // own at the same time.
+        let mut lease_holder = process.lease_holder.lock();
+        match lease_holder.handle_response(requested_ns, response) {
+            LeaseUpdate::Commands(commands) => process.apply_commands(&mut lease_holder, commands),
+            LeaseUpdate::Reset => {
+                reset_command_log(process, &lease_holder);
+                return true;
+            }
+            LeaseUpdate::Unchanged => {}
         }
-        LeaseUpdate::Unchanged => {}
     }
     let Some((until_ns, required)) = grant else { return false };
     let mut ack_aggregator = process.ack_aggregator.lock();
@@ -141,11 +145,9 @@
 }
 
 /// Continues from the parent's position. The commands before it are no longer available.
-fn reset_command_log(process: &Process) {
-    let (position, withdrawn) = {
-        let lease_holder = process.lease_holder.lock();
-        (lease_holder.position().unwrap_or_default(), lease_holder.withdrawn().clone())
-    };
+fn reset_command_log(process: &Process, lease_holder: &LeaseHolder) {
+    let position = lease_holder.position().unwrap_or_default();
+    let withdrawn = lease_holder.withdrawn().clone();
     tracing::info!(%position, "command log reset by parent");
     process.ack_aggregator.lock().reset(LogTail::starting_at(position, withdrawn));
     process.commands_changed.send_modify(|count| *count += 1);
--- a/crates/lilacpitch-site/src/lib.rs
+++ b/crates/lilacpitch-site/src/lib.rs
@@ -19,7 +19,7 @@
 //! Dependencies point in one direction: `startup`, then the tasks, then `process`, then `log` and the queues.
 //!
 //! **Locks.** The locks are those of [`process::Process`] and [`log::state::SiteState`]. None is held across
-//! an await or while another one is taken.
+//! an await. One rule of [`process`] says which two may be held together.
 #![forbid(unsafe_code)]
 
 mod ack_reporter;
--- a/crates/lilacpitch-site/src/process.rs
+++ b/crates/lilacpitch-site/src/process.rs
@@ -1,8 +1,9 @@
 //! The state of one process of a site, shared by its tasks. [`crate::startup`] builds it and starts the
 //! tasks.
 //!
-//! **Locks.** None of the locks below is held across an await or while another one is taken. A task that
-//! needs values behind two of them reads one after the other.
+//! **Locks.** None of the locks below is held across an await. `ack_aggregator` may be taken while
+//! `lease_holder` is held, so that commands are selected and applied in one step; otherwise none is taken while
+//! another one is held, and a task that needs values behind two of them reads one after the other.
 
 use crate::log::state::SiteState;
 use crate::log::store::LogStore;
--- a/crates/lilacpitch-testbed/tests/fleet/main.rs
+++ b/crates/lilacpitch-testbed/tests/fleet/main.rs
@@ -8,6 +8,7 @@
 mod thin;
 
 use lilacpitch_testbed::fleet::cluster::{Cluster, Plan};
+use std::collections::BTreeMap;
 use std::path::Path;
 use std::time::Duration;
 
@@ -24,12 +25,25 @@
 /// Posts an order to a process, repeatedly while there is no leader, and returns the index of the order.
 pub(crate) fn submit_order(cluster: &Cluster, process: usize, target: &str) -> u64 {
     let mut order = None;
+    let mut failures: BTreeMap<String, u32> = BTreeMap::new();
     cluster.wait_until(TIMEOUT, |cluster| {
-        let response = cluster.page(process, "POST", target).ok().filter(|(status, _)| *status == 200);
-        order = response.and_then(|(_, body)| body.trim().rsplit_once('/')?.1.parse().ok());
+        let response = cluster.page(process, "POST", target);
+        order = accepted_order(&response);
+        if order.is_none() {
+            *failures.entry(format!("{response:?}")).or_default() += 1;
+        }
         order.is_some()
     });
-    order.unwrap_or_else(|| panic!("{target}: {}", report(cluster)))
+    order
+        .unwrap_or_else(|| panic!("{target} failed, with these responses: {failures:?}\n{}", report(cluster)))
+}
+
+/// The index of the order in the response of the page that accepts orders; `None` if it was not accepted.
+fn accepted_order(response: &std::io::Result<(u16, String)>) -> Option<u64> {
+    match response {
+        Ok((200, body)) => body.trim().rsplit_once('/')?.1.parse().ok(),
+        _ => None,
+    }
 }
 
 /// Returns status pages and the ends of the logs of all processes, for assertion messages.
