Evict no new caller before it could send its first set-up

Evictions move to a module of their own, with a typed order: callers that set up no call in time, idle ones, new ones, those in use. While only new or used ones are left, accepting pauses until the first new caller has had 0.1 s, or 0.5 ms for each connected caller if that is less.

--- a/crates/lilacpitch-edge/tests/node/limits.rs
+++ b/crates/lilacpitch-edge/tests/node/limits.rs
@@ -2,6 +2,9 @@
 
 use crate::process::Node;
 use crate::standin::*;
+use std::io::Read;
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Instant;
 
 #[test]
@@ -81,3 +84,63 @@
     std::thread::sleep(ms(300));
     assert!(node.descriptors() <= before + 8, "{before} before, {} after", node.descriptors());
 }
+
+/// Keeps `count` connections open that send nothing, and opens another one as soon as one is closed.
+fn reconnect_silently(address: SocketAddr, count: usize, stop: &AtomicBool) {
+    let connect = || {
+        let stream = TcpStream::connect(address).unwrap();
+        stream.set_nonblocking(true).unwrap();
+        stream
+    };
+    let mut streams: Vec<_> = (0..count).map(|_| connect()).collect();
+    while !stop.load(Ordering::Relaxed) {
+        for stream in &mut streams {
+            let is_open =
+                matches!(stream.read(&mut [0]), Err(error) if error.kind() == std::io::ErrorKind::WouldBlock);
+            if !is_open {
+                *stream = connect();
+            }
+        }
+        std::thread::sleep(ms(1));
+    }
+}
+
+/// Guards against callers that are evicted in the 5 to 50 ms between their connecting and their first set-up,
+/// beside hundreds of connections that send nothing and come back as soon as they are closed.
+#[test]
+fn keeps_first_setups_of_new_callers_beside_hundreds_of_silent_ones_that_reconnect() {
+    const CALLERS_PER_THREAD: u64 = 20;
+    for silent in [100, 200, 300] {
+        let server = Server::start();
+        let node = Node::start_with_sockets(&[&server], 256);
+        let (stop, address) = (AtomicBool::new(false), node.address);
+        let lost: Vec<_> = std::thread::scope(|scope| {
+            (0..4).for_each(|_| drop(scope.spawn(|| reconnect_silently(address, silent / 4, &stop))));
+            std::thread::sleep(ms(300));
+            let callers: Vec<_> = (0..5u64)
+                .map(|thread| {
+                    scope.spawn(move || {
+                        let calls = (1..=CALLERS_PER_THREAD).map(move |call| 100 * thread + call);
+                        calls.filter(|call| !set_up_after_connecting(address, *call)).collect::<Vec<_>>()
+                    })
+                })
+                .collect();
+            while callers.iter().any(|caller| !caller.is_finished()) {
+                server.next_within("launch", ms(20)).iter().for_each(|setup| server.answer(setup, "there"));
+            }
+            stop.store(true, Ordering::Relaxed);
+            callers.into_iter().flat_map(|caller| caller.join().unwrap()).collect()
+        });
+        // The target is 99 of 100.
+        assert!(lost.len() <= 1, "beside {silent} silent connections, these of 100 calls are lost: {lost:?}");
+        assert!(node.descriptors() <= 256, "{}", node.descriptors());
+    }
+}
+
+/// Connects, and sets up a call 5 to 50 ms later. Returns whether the call was set up.
+fn set_up_after_connecting(address: SocketAddr, call: u64) -> bool {
+    let mut caller = Caller::connect(address);
+    std::thread::sleep(ms(5 + call * 7 % 46));
+    caller.invite(&id(call), 0, 4_000);
+    caller.next().is_some_and(|message| message.body == "there")
+}
--- a/crates/lilacpitch-node/src/core/callers.rs
+++ b/crates/lilacpitch-node/src/core/callers.rs
@@ -1,27 +1,19 @@
 //! Callers' connections and requests.
 //!
 //! Requests are validated, and then answered, admitted as calls or rejected with a status. When a caller
-//! disconnects, its open calls are abandoned. Idle callers are evicted when file descriptors are short.
+//! disconnects, its open calls are abandoned.
 
 use super::calls::SetupRequest;
 use super::path::Path;
-use super::records::Caller;
 use super::{CallerId, Effect, NodeCore};
 use crate::signalling::{self, parse_call_id, MAX_LINE_BYTES};
-use lilacpitch::interface::{CallId, Nanos};
+use lilacpitch::interface::CallId;
 use lilacpitch_sip::{Message, Request};
 
 /// Longest valid waiting time of a caller, in milliseconds: one hour.
 const MAX_LEFT_MS: u64 = 3_600_000;
 /// Longest dialled number, in bytes.
 const MAX_NUMBER_BYTES: usize = 64;
-/// A caller that connects to set up a call sends its first request within this time. Callers that have not
-/// are the first to be evicted.
-const FIRST_REQUEST_NS: Nanos = 100_000_000;
-
-/// A caller that has set up a call within this time is in use, and evicted last.
-const IN_USE_NS: Nanos = 1_000_000_000;
-
 /// The response that rejects a request: status and reason phrase.
 pub(super) type Rejection = (u16, &'static str);
 
@@ -186,35 +178,6 @@
         self.handle_caller_disconnected(id, effects);
         self.callers.remove(&id);
     }
-
-    /// Evicts a caller without an open call: preferably one that sent no valid set-up in time after
-    /// connecting, else the one that has been idle for the longest time, and only if there is no other, one
-    /// that set up a call shortly before. The newest is never evicted, since it has yet to send its first
-    /// request.
-    pub(super) fn evict_idle_caller(&mut self, effects: &mut Vec<Effect>) {
-        let now = self.now;
-        let newest = self.callers.last_key_value().map(|(id, _)| *id);
-        let is_idle = |id: CallerId, caller: &Caller| {
-            caller.open_calls.is_empty() && !caller.is_evicting && Some(id) != newest
-        };
-        let idle = self.callers.iter_mut().filter(|(id, caller)| is_idle(**id, caller));
-        let is_overdue =
-            |caller: &Caller| !caller.is_verified && now - caller.last_active_ns > FIRST_REQUEST_NS;
-        let is_in_use = |caller: &Caller| now.saturating_sub(caller.last_setup_ns) < IN_USE_NS;
-        let next_evicted =
-            idle.min_by_key(|(_, caller)| (is_in_use(caller), !is_overdue(caller), caller.last_active_ns));
-        if let Some((id, caller)) = next_evicted {
-            caller.is_evicting = true;
-            effects.push(Effect::EvictCaller(*id));
-        }
-    }
-
-    pub(super) fn handle_eviction_declined(&mut self, id: CallerId) {
-        let now = self.now;
-        self.callers
-            .entry(id)
-            .and_modify(|caller| (caller.is_evicting, caller.last_active_ns) = (false, now));
-    }
 }
 
 /// Returns the call id of a request.
--- a/crates/lilacpitch-node/src/core/mod.rs
+++ b/crates/lilacpitch-node/src/core/mod.rs
@@ -16,6 +16,7 @@
 mod counters;
 mod ended_calls;
 mod endpoint_list;
+mod evictions;
 mod health_checks;
 mod path;
 mod records;
--- a/crates/lilacpitch-node/src/core/records.rs
+++ b/crates/lilacpitch-node/src/core/records.rs
@@ -10,6 +10,8 @@
 pub(super) struct Caller {
     /// Its calls without a final response.
     pub open_calls: BTreeSet<CallId>,
+    /// When it connected.
+    pub connected_ns: Nanos,
     /// When it last sent a message, or else connected.
     pub last_active_ns: Nanos,
     /// When it last sent a set-up that was admitted; 0 before.
@@ -31,6 +33,7 @@
     pub(super) fn new(now: Nanos) -> Self {
         Caller {
             open_calls: BTreeSet::new(),
+            connected_ns: now,
             last_active_ns: now,
             last_setup_ns: 0,
             is_verified: false,
--- a/crates/lilacpitch-node/src/core/timers.rs
+++ b/crates/lilacpitch-node/src/core/timers.rs
@@ -29,6 +29,8 @@
     AttemptTimeout(CallId),
     /// Checks whether servers can be reached, and removes those that are no longer listed.
     HealthCheck,
+    /// Has the owner of the core request an eviction again, if it still has to.
+    Eviction,
     /// Ends the admission of set-ups while the node stops.
     CloseAdmission,
     /// Answers the calls that are open shortly before the process is killed.
@@ -46,6 +48,7 @@
                     self.schedule_health_check();
                     self.sweep_servers(effects);
                 }
+                Timer::Eviction => {}
                 Timer::CloseAdmission => self.is_admission_closed = true,
                 Timer::DrainDeadline => self.answer_open_calls(effects),
             }
--- a/crates/lilacpitch-node/tests/ends.rs
+++ b/crates/lilacpitch-node/tests/ends.rs
@@ -223,6 +223,32 @@
     assert_eq!((evict(&mut node), evict(&mut node)), (Some(3), None));
 }
 
+/// Guards against callers that are evicted in the milliseconds between their connecting and their first set-up,
+/// beside hundreds that connect and send nothing.
+#[test]
+fn evicts_no_new_caller_before_it_could_send_its_first_setup() {
+    const CALLERS: u64 = 200;
+    let mut node = OneServerNode::new();
+    node.connect_caller(1);
+    node.establish(1, 1);
+    node.now += 2_000 * MS;
+    (2..=CALLERS).for_each(|caller| node.connect_caller(caller));
+    let evict = |node: &mut OneServerNode| match &node.feed(Input::EvictIdleCaller)[..] {
+        [Effect::EvictCaller(caller)] => Some(*caller),
+        _ => None,
+    };
+    // The one that has set up a call is idle by now. The others may yet set up theirs.
+    assert_eq!((evict(&mut node), evict(&mut node)), (Some(1), None));
+    let connected = node.now;
+    node.now += 50 * MS;
+    assert_eq!(evict(&mut node), None);
+    // The node wakes up once one of them can be evicted, soon after the time that they were given.
+    while evict(&mut node).is_none() {
+        node.now = node.core.next_timeout().expect("no timer for the next eviction").max(node.now + 1);
+    }
+    assert!(node.now - connected <= 110 * MS, "no caller is evicted for {} ns", node.now - connected);
+}
+
 #[test]
 fn gives_a_connection_the_next_releases_once_the_previous_ones_are_written() {
     const CALLS: u64 = 1_000;
