Disconnect callers that send only invalid requests

All 168 slots for callers were taken by connections with up to 2,000 requests that had arrived; each was answered (190,000 times 400) before its slot was free, and a connection with unprocessed requests is not evicted. Regular callers waited to be accepted.

A caller without an open call is disconnected after 32 invalid requests in a row, and when slots are short after the first, if it has set up no call; what else has arrived from it is discarded (CloseMode::DiscardInput). Counted as 'disconnected' in the log. 481, 482 and 503 don't count.

New tests of the core and on real sockets: before, 1,000 requests are answered and the connection stays.

--- a/crates/lilacpitch-edge/tests/node/limits.rs
+++ b/crates/lilacpitch-edge/tests/node/limits.rs
@@ -144,3 +144,25 @@
     caller.invite(&id(call), 0, 4_000);
     caller.next().is_some_and(|message| message.body == "there")
 }
+
+/// Guards against callers that keep their connections, and everyone else from connecting, by sending more invalid
+/// requests than the node can answer.
+#[test]
+fn disconnects_callers_that_send_only_invalid_requests() {
+    const REQUESTS: u64 = 1_000;
+    let server = Server::start();
+    let node = Node::start(&[&server]);
+    let (mut regular, mut flooding) = (node.caller(), node.caller());
+    regular.invite(&id(1), 0, 4_000);
+    let setup = server.next("launch");
+    for call in 0..REQUESTS {
+        flooding.send(&invite(&id(1_000 + call), "dest:soon", 3_000, BODY));
+        regular.send(&invite(&id(3_000 + call), "dest:soon", 3_000, BODY));
+    }
+    let answers = std::iter::from_fn(|| flooding.next()).count() as u64;
+    assert!((1..REQUESTS / 4).contains(&answers), "{answers} answers before the end of the connection");
+    // The other one has an open set-up, so all its requests are answered.
+    (0..REQUESTS).for_each(|_| assert_eq!(regular.next().and_then(|message| message.status()), Some(400)));
+    server.answer(&setup, "there");
+    assert_eq!(regular.next().map(|message| message.body), Some("there".into()));
+}
--- a/crates/lilacpitch-net/src/connection.rs
+++ b/crates/lilacpitch-net/src/connection.rs
@@ -195,7 +195,7 @@
         loop {
             let step = match self.outbox.close_mode() {
                 Some(CloseMode::Immediately) => return EndReason::CutOff,
-                Some(CloseMode::AfterFlush) => return EndReason::Flushed,
+                Some(CloseMode::AfterFlush | CloseMode::DiscardInput) => return EndReason::Flushed,
                 Some(CloseMode::IfIdle) => self.step_to_eviction(on_event).await,
                 Some(CloseMode::AfterAnswers) => self.step_to_answered(on_event).await,
                 None => self.step(read_deadline, peer, on_event).await,
@@ -379,6 +379,9 @@
             if !self.deliver(message, peer, on_event).await {
                 return Err(EndReason::OwnerStopped);
             }
+            if self.outbox.close_mode() == Some(CloseMode::DiscardInput) {
+                return Err(EndReason::Flushed);
+            }
         }
         Ok(count)
     }
--- a/crates/lilacpitch-net/src/outbox.rs
+++ b/crates/lilacpitch-net/src/outbox.rs
@@ -35,6 +35,8 @@
     AfterAnswers,
     /// Close it once the queue is written.
     AfterFlush,
+    /// Close it once the queue is written, and discard what has arrived.
+    DiscardInput,
     /// Close it at once and discard the queue.
     Immediately,
 }
--- a/crates/lilacpitch-node/src/core/callers.rs
+++ b/crates/lilacpitch-node/src/core/callers.rs
@@ -14,6 +14,10 @@
 const MAX_LEFT_MS: u64 = 3_600_000;
 /// Longest dialled number, in bytes.
 const MAX_NUMBER_BYTES: usize = 64;
+/// A caller without an open call is disconnected once this many of its requests in a row were invalid. What it
+/// sends is handled before the requests of callers that wait to be accepted.
+const MAX_INVALID_REQUESTS: u32 = 32;
+
 /// The response that rejects a request: status and reason phrase.
 pub(super) type Rejection = (u16, &'static str);
 
@@ -42,12 +46,37 @@
             "ACK" => Ok(()),
             _ => Err((405, "Method Not Allowed")),
         };
-        if let Err((status, reason)) = handled {
-            *self.counters.rejected_messages.entry(status).or_default() += 1;
-            effects.push(Effect::ToCaller(id, request.encode_response(status, reason)));
+        match handled {
+            Ok(()) => {
+                self.callers.entry(id).and_modify(|caller| caller.invalid_requests = 0);
+            }
+            Err((status, reason)) => {
+                *self.counters.rejected_messages.entry(status).or_default() += 1;
+                effects.push(Effect::ToCaller(id, request.encode_response(status, reason)));
+                self.limit_invalid_requests(id, status, effects);
+            }
         }
     }
 
+    /// Disconnects a caller that has sent too many invalid requests in a row.
+    fn limit_invalid_requests(&mut self, id: CallerId, status: u16, effects: &mut Vec<Effect>) {
+        let Some(caller) = self.callers.get_mut(&id) else { return };
+        if !is_invalid(status) || caller.is_disconnected {
+            return;
+        }
+        caller.invalid_requests += 1;
+        if caller.invalid_requests >= MAX_INVALID_REQUESTS && caller.open_calls.is_empty() {
+            self.disconnect_caller(id, effects);
+        }
+    }
+
+    /// Disconnects a caller that sends invalid requests.
+    pub(super) fn disconnect_caller(&mut self, id: CallerId, effects: &mut Vec<Effect>) {
+        self.counters.disconnected_callers += 1;
+        effects.push(Effect::CloseCaller(id));
+        self.handle_caller_disconnected(id, effects);
+    }
+
     /// Answers a readiness check. After SIGTERM set-ups are still admitted for a while, but readiness checks
     /// fail.
     fn answer_readiness_check(&self, caller: CallerId, request: &Request, effects: &mut Vec<Effect>) {
@@ -180,6 +209,12 @@
     }
 }
 
+/// Whether a response with this status rejects a request that could never be valid. A request for a call that has
+/// just ended, or for which there is no capacity, may be valid.
+fn is_invalid(status: u16) -> bool {
+    matches!(status, 400 | 404 | 405 | 413)
+}
+
 /// Returns the call id of a request.
 fn wire_id(request: &Request) -> Result<u64, Rejection> {
     request.call_id.as_deref().and_then(parse_call_id).ok_or(BAD_CALL_ID)
--- a/crates/lilacpitch-node/src/core/counters.rs
+++ b/crates/lilacpitch-node/src/core/counters.rs
@@ -22,6 +22,8 @@
     pub not_adopted: u64,
     /// Rejected messages of callers, by status.
     pub rejected_messages: BTreeMap<u16, u64>,
+    /// Callers that were disconnected because they sent only invalid requests.
+    pub disconnected_callers: u64,
     /// Attempts that the controller requested. Each is completed once, with one of the outcomes.
     pub attempts: u64,
     /// Completed attempts and adopted calls, by the name of their outcome.
--- a/crates/lilacpitch-node/src/core/evictions.rs
+++ b/crates/lilacpitch-node/src/core/evictions.rs
@@ -16,6 +16,8 @@
 /// In which order callers are evicted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum EvictionClass {
+    /// It has set up no call, and its last request was invalid.
+    Invalid,
     /// It has set up no call in time after connecting.
     Silent,
     /// It has set up calls, but none shortly before.
@@ -40,6 +42,7 @@
             candidates.map(|(id, caller)| (self.eviction_class(caller, first_request_ns), caller, *id));
         let next = classified.min_by_key(|(class, caller, id)| (*class, caller.last_active_ns, *id));
         match next.map(|(class, _, id)| (class, id)) {
+            Some((EvictionClass::Invalid, id)) => self.disconnect_caller(id, effects),
             Some((EvictionClass::New(until_ns), _)) => self.timers.set(Timer::Eviction, until_ns),
             Some((_, id)) => {
                 self.callers.entry(id).and_modify(|caller| caller.is_evicting = true);
@@ -55,6 +58,7 @@
         match caller.is_verified {
             true if is_in_use => EvictionClass::InUse,
             true => EvictionClass::Idle,
+            false if caller.invalid_requests > 0 => EvictionClass::Invalid,
             false if self.now > first_request_due => EvictionClass::Silent,
             false => EvictionClass::New(first_request_due + 1),
         }
--- a/crates/lilacpitch-node/src/core/mod.rs
+++ b/crates/lilacpitch-node/src/core/mod.rs
@@ -106,6 +106,8 @@
     /// Close a caller's connection, unless a message has arrived on it. Followed by [`Input::CallerClosed`]
     /// or [`Input::EvictionDeclined`].
     EvictCaller(CallerId),
+    /// Close a caller's connection after writing what is queued for it. Followed by [`Input::CallerClosed`].
+    CloseCaller(CallerId),
     /// Connect to a server. Followed by [`Input::UpstreamConnected`] or [`Input::UpstreamClosed`].
     Connect(UpstreamId, SocketAddr),
     /// Send a server a message. The messages of a connection are numbered consecutively from 0.
--- a/crates/lilacpitch-node/src/core/records.rs
+++ b/crates/lilacpitch-node/src/core/records.rs
@@ -20,8 +20,11 @@
     pub is_verified: bool,
     /// Whether its eviction was requested and not declined.
     pub is_evicting: bool,
-    /// Whether it has closed its connection. Set-ups that still arrive from it are discarded.
+    /// Whether it has closed its connection, or is being closed. Set-ups that still arrive from it are
+    /// discarded.
     pub is_disconnected: bool,
+    /// Number of its last requests in a row that were invalid.
+    pub invalid_requests: u32,
     /// Memory charged for its open calls, in bytes.
     pub charged_bytes: usize,
     /// Number of releases given to its connection that are not known to be written.
@@ -39,6 +42,7 @@
             is_verified: false,
             is_evicting: false,
             is_disconnected: false,
+            invalid_requests: 0,
             charged_bytes: 0,
             unwritten_releases: 0,
         }
--- a/crates/lilacpitch-node/src/net/counters.rs
+++ b/crates/lilacpitch-node/src/net/counters.rs
@@ -22,6 +22,7 @@
         c.gone = counters.cancelled,
         c.adopted = counters.adopted,
         c.not_adopted = counters.not_adopted,
+        c.disconnected = counters.disconnected_callers,
         c.strays = counters.unmatched,
         c.links_lost = counters.upstreams_lost,
         c.links_mute = counters.upstreams_unresponsive,
--- a/crates/lilacpitch-node/src/net/driver.rs
+++ b/crates/lilacpitch-node/src/net/driver.rs
@@ -186,7 +186,9 @@
                 if let Some(CallerHandle { connection, .. }) = self.callers.get(caller) {
                     connection.outbox.record_processed();
                     connection.outbox.cancel_eviction();
-                    self.evicting.remove(caller);
+                    if connection.outbox.close_mode().is_none() {
+                        self.evicting.remove(caller);
+                    }
                 }
             }
             Input::CallerDrained(caller) => {
@@ -270,6 +272,7 @@
                 self.callers.entry(caller).and_modify(|caller| caller.push_release(release));
             }
             Effect::EvictCaller(caller) => self.evict_caller(caller),
+            Effect::CloseCaller(caller) => self.close_caller(caller),
             Effect::ToServer { upstream, message, bytes, not_after_ns } => {
                 self.send_to_server(upstream, OutgoingMessage { number: message, bytes, not_after_ns });
             }
@@ -322,6 +325,13 @@
         }
     }
 
+    /// Closes a caller's connection, without reading further requests from it.
+    fn close_caller(&mut self, caller: CallerId) {
+        let Some(CallerHandle { connection, .. }) = self.callers.get(&caller) else { return };
+        connection.outbox.close(CloseMode::DiscardInput);
+        self.evicting.insert(caller);
+    }
+
     /// Queues a message for a server. A set-up is dropped if too many messages wait on its connection, and any
     /// message if too much waits for all servers.
     fn send_to_server(&self, upstream: UpstreamId, message: OutgoingMessage) {
--- a/crates/lilacpitch-node/tests/ends.rs
+++ b/crates/lilacpitch-node/tests/ends.rs
@@ -249,6 +249,31 @@
     assert!(node.now - connected <= 110 * MS, "no caller is evicted for {} ns", node.now - connected);
 }
 
+/// Guards against callers that keep their connections, and everyone else from connecting, by sending more invalid
+/// requests than the node can answer.
+#[test]
+fn disconnects_callers_that_send_only_invalid_requests() {
+    let mut node = OneServerNode::new();
+    (1..=3).for_each(|caller| node.connect_caller(caller));
+    let is_closed = |effects: &[Effect], caller| {
+        effects.iter().any(|effect| matches!(effect, Effect::CloseCaller(closed) if *closed == caller))
+    };
+    let send_invalid = |node: &mut OneServerNode, caller| {
+        let effects = node.feed(Input::CallerMessage(caller, request("INFO", 7)));
+        assert!(matches!(effects[0], Effect::ToCaller(..)), "not answered: {effects:?}");
+        is_closed(&effects, caller)
+    };
+    // If slots are short, after the first one; else after some.
+    assert!(!send_invalid(&mut node, 1));
+    assert!(is_closed(&node.feed(Input::EvictIdleCaller), 1));
+    assert!((0..100).any(|_| send_invalid(&mut node, 2)), "not disconnected");
+    // A set-up of a caller that was disconnected is not sent, but the end of its call still counts.
+    assert!(node.request(1, "INVITE", 8).is_empty());
+    // A caller with an open call is not disconnected.
+    node.request(3, "INVITE", 9);
+    assert!(!(0..100).any(|_| send_invalid(&mut node, 3)), "disconnected with an open call");
+}
+
 #[test]
 fn gives_a_connection_the_next_releases_once_the_previous_ones_are_written() {
     const CALLS: u64 = 1_000;
--- a/crates/lilacpitch-node/tests/orders.rs
+++ b/crates/lilacpitch-node/tests/orders.rs
@@ -91,6 +91,11 @@
                 self.check_release(release.wire_id);
             }
             Effect::EvictCaller(caller) => self.evicting.push(caller),
+            Effect::CloseCaller(caller) => {
+                let open = self.calls.values().find(|setup| setup.caller == caller && !setup.is_over);
+                assert!(open.is_none(), "caller {caller} is closed, though its call is open: {open:?}");
+                self.record_disconnected(caller);
+            }
             Effect::Connect(upstream, _) => drop(self.upstreams.insert(upstream, Upstream::default())),
             Effect::Disconnect(upstream) => self.remove_upstream(upstream),
             Effect::ToServer { upstream, message, bytes, .. } => {
@@ -400,6 +405,7 @@
         match kind {
             1..=5 => self.invite(caller),
             6 => self.cancel(caller, variant),
+            7 if variant.is_multiple_of(3) => self.feed(Input::CallerMessage(caller, request("INFO", 0))),
             7 => {
                 if let Some(call) = pick(self.calls.keys().copied(), selector) {
                     self.feed(Input::CallerMessage(caller, request("BYE", call)));
