--- a/crates/lilacpitch-edge/tests/node/coordinator.rs
+++ b/crates/lilacpitch-edge/tests/node/coordinator.rs
@@ -17,6 +17,8 @@
             server.answer(&launch, "there");
             last = Some(launch.at.saturating_duration_since(start));
         }
+        // So few calls that the memory for calls lasts.
+        std::thread::sleep(ms(3));
     }
     last
 }
@@ -43,6 +45,37 @@
     assert!(second.next_within("launch", ms(50)).is_some(), "no set-up at the other server");
 }
 
+/// Guards against a coordinator that is never heard because all its responses take longer than the node awaits
+/// one. The page on bad peers allows 7 s for what a slow coordinator has to tell; the grace period of a drain and
+/// 0.1 s for the sockets follow.
+#[test]
+fn hears_a_drain_from_a_coordinator_that_is_always_slow() {
+    std::thread::scope(|scope| {
+        for delay_ms in [500, 1_000, 2_000, 2_500, 4_000] {
+            scope.spawn(move || check_slow_coordinator(delay_ms, ms(7_600)));
+        }
+    });
+}
+
+/// Checks that a server gets no set-up from `max_delay` after a drain is published by a coordinator that sends
+/// each response this much late, and that calls are set up elsewhere then.
+fn check_slow_coordinator(delay_ms: u64, max_delay: Duration) {
+    let (first, second) = (Server::start(), Server::start());
+    let node = Node::start(&[&first, &second]);
+    node.coordinator.set_behaviour(Behaviour::Delays(delay_ms));
+    // The current poll ends, and the next one meets this behaviour.
+    std::thread::sleep(ms(2_000));
+    let published_at = Instant::now();
+    node.coordinator.publish(vec![target("s0", first.address, 0, "terminating", 0)]);
+    let last = last_setup_at(&node, &first, published_at, max_delay + ms(2_000)).unwrap_or_default();
+    println!("responses {delay_ms} ms late: last set-up {last:?} after the drain was published");
+    assert!(
+        last < max_delay,
+        "responses {delay_ms} ms late: a set-up {last:?} after the drain was published"
+    );
+    assert!(second.next_within("launch", ms(50)).is_some(), "no set-up at the other server");
+}
+
 #[test]
 fn drains_a_server_within_the_grace_period() {
     check_drain(Behaviour::Normal, ms(500));
--- a/crates/lilacpitch-edge/tests/node/standin.rs
+++ b/crates/lilacpitch-edge/tests/node/standin.rs
@@ -231,6 +231,8 @@
     StallsInChunk,
     /// Sends each response one byte at a time, so slowly that the node times out.
     Trickles,
+    /// Sends each response whole, but this many milliseconds late.
+    Delays(u64),
     /// Responds to each poll at once, without events.
     Empty,
     /// Skips the next event, unless polled for the full list.
@@ -317,6 +319,9 @@
         };
         let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
         let response = format!("{head}{body}");
+        if let Behaviour::Delays(delay_ms) = behaviour {
+            std::thread::sleep(ms(delay_ms));
+        }
         let is_open = match behaviour {
             Behaviour::StallsAfter(bytes) => write_and_stall(&mut stream, &mut lines, &response[..bytes]),
             Behaviour::StallsInChunk => write_and_stall(&mut stream, &mut lines, &partial_chunks(&body)),
@@ -365,7 +370,8 @@
     if events.behaviour == Behaviour::Silent {
         return None;
     }
-    let hold = if events.behaviour == Behaviour::Empty { Duration::ZERO } else { poll.hold };
+    let responds_at_once = matches!(events.behaviour, Behaviour::Empty | Behaviour::Delays(_));
+    let hold = if responds_at_once { Duration::ZERO } else { poll.hold };
     let has_none =
         |events: &mut Events| events.all.len() as u64 <= poll.after && events.behaviour != Behaviour::Empty;
     let (events, _) = shared.1.wait_timeout_while(events, hold, has_none).unwrap();
--- a/crates/lilacpitch-node/src/coordinator.rs
+++ b/crates/lilacpitch-node/src/coordinator.rs
@@ -92,6 +92,15 @@
         self.index
     }
 
+    /// Returns the new events of a response to a poll for the events after `after_index` that arrived after a
+    /// later poll was sent. Unless nothing has been received since, it counts only if it is newer.
+    pub fn accept_late(&mut self, after_index: u64, response: PollResponse) -> Vec<Endpoints> {
+        if after_index != self.index && response.index <= self.index {
+            return Vec::new();
+        }
+        self.accept(response)
+    }
+
     /// Returns the new events of a response, in order.
     ///
     /// After a gap in the numbers, unless the next event is a complete list, the rest of the response is
--- a/crates/lilacpitch-node/src/net/coordinator_poll.rs
+++ b/crates/lilacpitch-node/src/net/coordinator_poll.rs
@@ -19,8 +19,10 @@
 /// How long the coordinator may hold its response back while it has no new events. It is short because events
 /// that a coordinator withholds count as delivered from the end of this time.
 const HOLD: Duration = Duration::from_millis(1500);
-/// How long after [`HOLD`] a response is awaited.
-const RESPONSE_SLACK: Duration = Duration::from_millis(400);
+/// After this time a response is late, and the coordinator is polled again beside it.
+pub(super) const LATE_AFTER: Duration = HOLD.saturating_add(Duration::from_millis(400));
+/// How long a response is awaited.
+const RESPONSE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Longest body of a response, in bytes.
 const MAX_BODY_BYTES: usize = 8 << 20;
 /// Longest line with the size of a chunk, in bytes.
@@ -81,22 +83,30 @@
     }
 }
 
-/// Polls once for the events after `index`, on the given connection or a new one. Puts the connection back if
-/// it can be reused.
+/// The result of a successful poll.
+pub(super) struct Polled {
+    /// The number of the event after which events were requested.
+    pub after_index: u64,
+    /// The response.
+    pub response: PollResponse,
+    /// The connection, if it can be reused.
+    pub connection: Option<TcpStream>,
+}
+
+/// Polls once for the events after `after_index`, on the given connection or a new one.
 pub(super) async fn poll(
-    connection: &mut Option<TcpStream>,
+    connection: Option<TcpStream>,
     address: SocketAddr,
-    index: u64,
-) -> Result<PollResponse, PollError> {
-    let mut stream = match connection.take() {
+    after_index: u64,
+) -> Result<Polled, PollError> {
+    let mut stream = match connection {
         Some(stream) => stream,
         None => connect(address).await?,
     };
-    let exchange = timeout(HOLD + RESPONSE_SLACK, exchange(&mut stream, address, index));
+    let exchange = timeout(RESPONSE_TIMEOUT, exchange(&mut stream, address, after_index));
     let body = exchange.await.map_err(|_| PollError::ResponseTimeout)??;
     let response = parse_response(&String::from_utf8(body.bytes)?)?;
-    *connection = body.is_reusable.then_some(stream);
-    Ok(response)
+    Ok(Polled { after_index, response, connection: body.is_reusable.then_some(stream) })
 }
 
 async fn connect(address: SocketAddr) -> Result<TcpStream, PollError> {
