--- a/crates/lilacpitch-node/src/core/path.rs
+++ b/crates/lilacpitch-node/src/core/path.rs
@@ -2,6 +2,8 @@
 //! cut, and the server of a call that is already established.
 
 use super::callers::Rejection;
+use crate::figures::FiniteNumber;
+use std::ops::Bound;
 
 /// The values of a `P-Path` field.
 #[derive(Debug)]
@@ -43,9 +45,8 @@
             "dest" if value == "-1" => {}
             "dest" => self.first_choice = value.parse().map_err(|_| BAD_PATH)?,
             "width" => {
-                let is_valid = |count: &f64| count.is_finite() && *count > 0.0 && *count < MAX_CIRCUITS;
-                let circuits = value.parse().ok().filter(is_valid);
-                self.circuits = circuits.ok_or(BAD_PATH)?;
+                let bounds = (Bound::Excluded(0.0), Bound::Excluded(MAX_CIRCUITS));
+                self.circuits = FiniteNumber::parse(value, bounds).ok_or(BAD_PATH)?.get();
             }
             "again" => {
                 self.may_retry_after_cut = match value {
@@ -56,7 +57,7 @@
             }
             "at" => self.established_at = Some(value.to_string()),
             // Other values are ignored, but must be numbers.
-            _ => drop(value.parse().ok().filter(|number: &f64| number.is_finite()).ok_or(BAD_PATH)?),
+            _ => drop(FiniteNumber::parse(value, FiniteNumber::ANY).ok_or(BAD_PATH)?),
         }
         Ok(())
     }
--- a/crates/lilacpitch-node/src/lib.rs
+++ b/crates/lilacpitch-node/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod config;
 pub mod coordinator;
 pub mod core;
+mod figures;
 pub mod net;
 pub mod signalling;
--- a/crates/lilacpitch-node/src/signalling.rs
+++ b/crates/lilacpitch-node/src/signalling.rs
@@ -4,6 +4,7 @@
 //! functions return one. No I/O. The keys are defined by the platform's protocol page and don't depend on the
 //! names in this module.
 
+use crate::figures::FiniteNumber;
 use lilacpitch::interface::{Nanos, Outcome};
 use serde::Deserialize;
 use serde_json::{json, Value};
@@ -26,6 +27,10 @@
 /// Q.850 cause of a rejection: recovery on timer expiry.
 const CAUSE_TIMER_EXPIRED: u16 = 102;
 
+/// Exclusive upper bound of the wait that an overloaded server estimates, in milliseconds.
+const MAX_WAIT_MS: f64 = 1e9;
+const NS_PER_MS: f64 = 1e6;
+
 /// Unused capacity in bytes that a buffer may keep, beyond as much as it holds. It is small, since most
 /// connections are idle most of the time.
 const IDLE_CAPACITY_BYTES: usize = 4096;
@@ -177,13 +182,14 @@
                 let Some(cause) = raw.reason else {
                     return Err(LineError::Field("stop without a reason"));
                 };
-                let estimated_wait_ms = raw.meta_text("waited").and_then(|text| text.parse::<f64>().ok());
-                let estimated_wait_ms = estimated_wait_ms.filter(|ms| (0.0..1e9).contains(ms));
+                let estimated_wait_ms = raw.meta_text("waited");
+                let estimated_wait_ms =
+                    estimated_wait_ms.and_then(|text| FiniteNumber::parse(&text, 0.0..MAX_WAIT_MS));
                 ServerMessage::Stop {
                     uid: uid()?,
                     cause,
                     note: raw.meta_text("note").unwrap_or_default(),
-                    estimated_wait_ns: estimated_wait_ms.map(|ms| (ms * 1e6) as Nanos),
+                    estimated_wait_ns: estimated_wait_ms.map(|ms| (ms.get() * NS_PER_MS) as Nanos),
                     load: load(),
                 }
             }
--- a/crates/lilacpitch/src/settings.rs
+++ b/crates/lilacpitch/src/settings.rs
@@ -4,6 +4,9 @@
 use serde_json::Value;
 use std::fmt;
 
+/// Largest absolute value of a figure in settings and load reports; as nanoseconds, three years.
+const MAX_FIGURE: f64 = 1e17;
+
 /// An error in the settings.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SettingsError {
@@ -21,7 +24,7 @@
 
 impl std::error::Error for SettingsError {}
 
-/// The error for a value of a server's load report that is not a finite number.
+/// The error for a value of a server's load report that is not a finite number, or over 1e17.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ReportValueError {
     /// The value as reported, at most 40 characters of it.
@@ -110,7 +113,7 @@
     /// its index and name. Values below 0 mean that the server does not know them.
     ///
     /// # Errors
-    /// The first value that is not a finite number.
+    /// The first value that is not a finite number, or over 1e17.
     pub fn report<'a>(
         &self,
         mut value_of: impl FnMut(usize, &str) -> Option<&'a str>,
@@ -119,7 +122,7 @@
         for (index, name) in self.report_fields.iter().enumerate() {
             let Some(text) = value_of(index, name) else { continue };
             let value = match text.parse::<f64>() {
-                Ok(value) if value.is_finite() => value,
+                Ok(value) if value.abs() <= MAX_FIGURE => value,
                 _ => return Err(ReportValueError { value: format!("{text:.40}") }),
             };
             if name == "free" && value >= 0.0 {
@@ -142,8 +145,9 @@
         match self.get(path) {
             None | Some(Value::Null) => Ok(default),
             Some(value) => match value.as_f64() {
-                Some(number) if number.is_finite() => Ok(number),
-                _ => invalid(path, "not a number"),
+                Some(number) if number.abs() <= MAX_FIGURE => Ok(number),
+                Some(_) => invalid(path, format!("over {MAX_FIGURE:e}")),
+                None => invalid(path, "not a number"),
             },
         }
     }
@@ -201,7 +205,8 @@
     let number = |key: &str, default: f64| match class.get(key) {
         None | Some(Value::Null) => Ok(default),
         Some(value) => match value.as_f64() {
-            Some(number) if number.is_finite() && number >= 0.0 => Ok(number),
+            Some(number) if number > MAX_FIGURE => invalid(&path(key), format!("over {MAX_FIGURE:e}")),
+            Some(number) if number >= 0.0 => Ok(number),
             _ => invalid(&path(key), "not a number of 0 or more"),
         },
     };
