Count closed connections that drain into the memory limit

Closed connections that still flush had a share of the descriptors and none of the memory, so that with many descriptors and little memory they alone could exceed it: 3,796 of them at 8 MB and 30,448 descriptors. They get one of the 32 parts, at 8 KiB each, which connections to servers give up (3 parts in place of 4: room for 128 connections at 32 MB, which is the limit of 1,024 descriptors too).

memory_shares_leave_an_eighth_of_the_limit counts them now and failed before.

--- a/crates/lilacpitch-node/src/config.rs
+++ b/crates/lilacpitch-node/src/config.rs
@@ -101,6 +101,8 @@
 const MIN_MEMORY_MB: u64 = 8;
 /// Memory of one connection in KiB: the longest incomplete message, and the state of its task.
 const KIB_PER_CONNECTION: usize = 24;
+/// Memory of one closed connection that is draining, in KiB: the state of its task, and a last response.
+const KIB_PER_DRAINING_CONNECTION: usize = 8;
 /// Memory of one event that waits for the driver in KiB: the longest message, decoded.
 const KIB_PER_EVENT: usize = 20;
 /// Most events that wait for the driver. While the queue is full, connections are not read. A small queue
@@ -116,7 +118,9 @@
 /// Shares for calls.
 const CALL_SHARES: usize = 8;
 /// Shares for connections to servers.
-const UPSTREAM_SHARES: usize = 4;
+const UPSTREAM_SHARES: usize = 3;
+/// Shares for closed connections that are draining.
+const DRAINING_SHARES: usize = 1;
 /// Shares for what waits to be written to servers.
 const SERVER_OUTPUT_SHARES: usize = 1;
 /// Shares for events that wait for the driver.
@@ -132,19 +136,20 @@
 
     /// Divides the descriptors and the memory among their uses.
     pub fn budget(&self) -> Budget {
-        let connections = |shares: usize| self.memory_bytes(shares) / (KIB_PER_CONNECTION * 1024);
-        let upstreams = (self.sockets / UPSTREAM_FRACTION).min(connections(UPSTREAM_SHARES));
+        // How many objects of this size the memory shares have room for.
+        let fitting = |shares: usize, kib: usize| self.memory_bytes(shares) / (kib * 1024);
+        let upstreams = (self.sockets / UPSTREAM_FRACTION).min(fitting(UPSTREAM_SHARES, KIB_PER_CONNECTION));
         let remaining = self.sockets.saturating_sub(upstreams).saturating_sub(RESERVED_SOCKETS);
-        let draining = remaining / DRAINING_FRACTION;
-        let events = self.memory_bytes(EVENT_SHARES) / (KIB_PER_EVENT * 1024);
+        let draining =
+            (remaining / DRAINING_FRACTION).min(fitting(DRAINING_SHARES, KIB_PER_DRAINING_CONNECTION));
         Budget {
-            callers: (remaining - draining).min(connections(CALLER_SHARES)),
+            callers: (remaining - draining).min(fitting(CALLER_SHARES, KIB_PER_CONNECTION)),
             draining,
             upstreams,
             caller_output_bytes: self.memory_bytes(CALLER_OUTPUT_SHARES),
             server_output_bytes: self.memory_bytes(SERVER_OUTPUT_SHARES),
             call_bytes: self.memory_bytes(CALL_SHARES),
-            queued_events: events.clamp(1, MAX_QUEUED_EVENTS),
+            queued_events: fitting(EVENT_SHARES, KIB_PER_EVENT).clamp(1, MAX_QUEUED_EVENTS),
         }
     }
 
--- a/crates/lilacpitch-node/tests/limits.rs
+++ b/crates/lilacpitch-node/tests/limits.rs
@@ -25,7 +25,8 @@
         // A connection holds a partial message of up to 16 KiB, and an event a whole one.
         let connections = (budget.callers + budget.upstreams) * 24 * 1024;
         let queued = budget.caller_output_bytes + budget.server_output_bytes + budget.queued_events * 20 * 1024;
-        let total = (connections + queued + budget.call_bytes) as u64;
+        let draining = budget.draining * 8 * 1024;
+        let total = (connections + queued + budget.call_bytes + draining) as u64;
         prop_assert!(total <= memory_mb * 1024 * 1024 / 8 * 7, "{total} {budget:?}");
     }
 }
