One type for peers that read nothing, in the node's connections and the WebSocket edge's

The time since which a peer accepts nothing was kept in two connections in the same way, and the node's wrote in two places. No change of behaviour.

--- a/crates/lilacpitch-edge/src/net/connection.rs
+++ b/crates/lilacpitch-edge/src/net/connection.rs
@@ -5,6 +5,7 @@
 
 use super::Clock;
 use lilacpitch::interface::Nanos;
+use lilacpitch_net::{sleep_until, WriteStall};
 use lilacpitch_protocol::frame::{CloseCode, Decoder, Encoder, FrameError, Message, Role};
 use lilacpitch_protocol::handshake::{self, HandshakeError};
 use lilacpitch_protocol::http;
@@ -17,7 +18,6 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
-use tokio::time::Instant;
 
 /// Maximum number of messages that are encoded at once.
 const MAX_BATCH: usize = 64;
@@ -186,8 +186,7 @@
     ) -> EndCause {
         let (mut incoming, mut batch) = (Vec::with_capacity(READ_BYTES), Vec::new());
         let mut is_ping_pending = false;
-        // Since when the other end has accepted nothing while too much waits for it.
-        let mut stalled_since: Option<Instant> = None;
+        let mut write_stall = WriteStall::default();
         loop {
             if let Err(cause) = self.deliver_messages(decoder, &mut buffer.bytes, on_event).await {
                 return cause;
@@ -195,11 +194,7 @@
             let (mut reader, mut writer) = self.stream.split();
             let quiet = self.quiet.unwrap_or(Duration::MAX);
             let exceeded = self.write_limits.filter(|limits| out.len() > limits.unread_messages);
-            let stall_deadline =
-                exceeded.map(|limits| *stalled_since.get_or_insert_with(Instant::now) + limits.stall_timeout);
-            if exceeded.is_none() {
-                stalled_since = None;
-            }
+            let stall_deadline = write_stall.deadline(exceeded.map(|limits| limits.stall_timeout));
             let may_read = buffer.unwritten().len() < READ_BYTES && exceeded.is_none();
             incoming.clear();
             tokio::select! {
@@ -219,7 +214,7 @@
                     match result {
                         Ok(count) => {
                             buffer.record_written(count);
-                            stalled_since = None;
+                            write_stall.reset();
                         }
                         Err(error) => return EndCause::Write(error),
                     }
@@ -230,15 +225,15 @@
                     }
                     self.encode(&mut batch, buffer, on_event).await;
                 }
-                _ = tokio::time::sleep_until(stall_deadline.unwrap_or_else(Instant::now)), if stall_deadline.is_some() => {
+                () = sleep_until(stall_deadline), if stall_deadline.is_some() => {
                     // This process may have stalled, and not the other end: lets the runtime poll the socket.
                     tokio::task::yield_now().await;
                     match writer.try_write(buffer.unwritten()) {
                         Ok(count) if count > 0 => {
                             buffer.record_written(count);
-                            stalled_since = None;
+                            write_stall.reset();
                         }
-                        _ if buffer.bytes.is_empty() => stalled_since = None,
+                        _ if buffer.bytes.is_empty() => write_stall.reset(),
                         _ => return EndCause::NotReading,
                     }
                 }
--- a/crates/lilacpitch-net/src/clock.rs
+++ b/crates/lilacpitch-net/src/clock.rs
@@ -34,3 +34,8 @@
 fn nanos(duration: Duration) -> Nanos {
     duration.as_nanos().try_into().unwrap_or(Nanos::MAX)
 }
+
+/// Sleeps until a deadline, if there is one; else returns at once, so the caller has to check for one before.
+pub async fn sleep_until(deadline: Option<tokio::time::Instant>) {
+    tokio::time::sleep_until(deadline.unwrap_or_else(tokio::time::Instant::now)).await;
+}
--- a/crates/lilacpitch-net/src/connection.rs
+++ b/crates/lilacpitch-net/src/connection.rs
@@ -4,9 +4,10 @@
 //! end of the connection is reported to the owner, a [`ClosingConnection`] flushes the last bytes, so that
 //! the peer does not lose them when the socket is closed.
 
-use crate::clock::Clock;
+use crate::clock::{sleep_until, Clock};
 use crate::closing::ClosingConnection;
 use crate::outbox::{CloseMode, FinalBytes, Outbox, WriteProgress};
+use crate::write_stall::WriteStall;
 use std::io;
 use std::time::Duration;
 use thiserror::Error;
@@ -141,8 +142,7 @@
 /// What is known of the peer, and the callback for its close.
 struct PeerState<F> {
     has_closed: bool,
-    /// Since when it has accepted nothing, if it has to accept something.
-    stalled_since: Option<Instant>,
+    write_stall: WriteStall,
     on_disconnect: F,
 }
 
@@ -178,7 +178,7 @@
         mut on_event: impl AsyncFnMut(ConnectionEvent<C::Message>) -> bool,
     ) -> (ConnectionEnd<C::Error>, ClosingConnection) {
         let _ = self.stream.set_nodelay(true);
-        let mut peer = PeerState { has_closed: false, stalled_since: None, on_disconnect };
+        let mut peer = PeerState { has_closed: false, write_stall: WriteStall::default(), on_disconnect };
         let reason = self.run_until_end(&mut peer, &mut on_event).await;
         if peer.has_closed {
             (peer.on_disconnect)();
@@ -215,7 +215,7 @@
             }
             let delivery = self.deliver_messages(peer, on_event).await;
             // Nothing was written while the owner was busy, whether or not the peer reads.
-            peer.stalled_since = None;
+            peer.write_stall.reset();
             match delivery {
                 Ok(count) => self.update_read_deadline(&mut read_deadline, count),
                 Err(reason) => return reason,
@@ -247,15 +247,9 @@
                     read => Step::Read(read),
                 }
             }
-            ready = self.stream.writable(), if has_output => match self.write_queue(ready) {
-                Ok(progress) => {
-                    if progress.accepted_bytes > 0 {
-                        peer.stalled_since = None;
-                    }
-                    self.report_progress(progress, on_event).await
-                }
-                Err(reason) => Step::End(reason),
-            },
+            ready = self.stream.writable(), if has_output => {
+                self.write_to_peer(ready, peer, on_event).await.1
+            }
             () = self.outbox.changed() => Step::Continue,
             () = sleep_until(read_deadline), if !is_paused && read_deadline.is_some() => {
                 // After a stall of this process, a message that arrived in time may still be unread.
@@ -286,25 +280,35 @@
     ) -> Step<C::Error> {
         // Lets the runtime poll the socket.
         tokio::task::yield_now().await;
-        match self.write_queue(Ok(())) {
-            Ok(progress) if progress.accepted_bytes > 0 => {
-                peer.stalled_since = None;
-                self.report_progress(progress, on_event).await
-            }
-            Ok(_) => Step::End(EndReason::NotReading),
-            Err(reason) => Step::End(reason),
+        match self.write_to_peer(Ok(()), peer, on_event).await {
+            (0, Step::Continue) => Step::End(EndReason::NotReading),
+            (_, step) => step,
+        }
+    }
+
+    /// Writes as much as the peer accepts. Returns how many bytes it has accepted.
+    async fn write_to_peer(
+        &self,
+        ready: io::Result<()>,
+        peer: &mut PeerState<impl Fn()>,
+        on_event: &mut impl AsyncFnMut(ConnectionEvent<C::Message>) -> bool,
+    ) -> (usize, Step<C::Error>) {
+        let progress = match self.write_queue(ready) {
+            Ok(progress) => progress,
+            Err(reason) => return (0, Step::End(reason)),
+        };
+        let accepted_bytes = progress.accepted_bytes;
+        if accepted_bytes > 0 {
+            peer.write_stall.reset();
         }
+        (accepted_bytes, self.report_progress(progress, on_event).await)
     }
 
     /// Returns by when the peer must accept something, if too much waits for it, or if the owner waits until
     /// the queue is empty.
     fn stall_deadline(&self, is_paused: bool, peer: &mut PeerState<impl Fn()>) -> Option<Instant> {
         let limits = self.write_limits.filter(|_| is_paused || self.outbox.is_empty_report_pending());
-        let Some(limits) = limits else {
-            peer.stalled_since = None;
-            return None;
-        };
-        Some(*peer.stalled_since.get_or_insert_with(Instant::now) + limits.stall_timeout)
+        peer.write_stall.deadline(limits.map(|limits| limits.stall_timeout))
     }
 
     /// Reads what has arrived on a connection that is to be evicted, or ends the connection if nothing has.
@@ -488,11 +492,6 @@
     }
 }
 
-/// Sleeps until the deadline; must not be polled without one.
-async fn sleep_until(deadline: Option<Instant>) {
-    tokio::time::sleep_until(deadline.unwrap_or_else(Instant::now)).await;
-}
-
 /// Whether the peer has closed, even if data that it sent before is unread.
 async fn is_read_closed(stream: &TcpStream) -> bool {
     tokio::select! {
--- a/crates/lilacpitch-net/src/lib.rs
+++ b/crates/lilacpitch-net/src/lib.rs
@@ -14,9 +14,10 @@
 mod queued_bytes;
 mod stall;
 mod timers;
+mod write_stall;
 
 pub use addresses::free_addresses;
-pub use clock::Clock;
+pub use clock::{sleep_until, Clock};
 pub use closing::{ClosingConnection, DrainQuota};
 pub use connection::{Codec, Connection, ConnectionEnd, ConnectionEvent, EndReason, WriteLimits};
 pub use listener::listen;
@@ -24,3 +25,4 @@
 pub use queued_bytes::QueuedBytes;
 pub use stall::StallDetector;
 pub use timers::Timers;
+pub use write_stall::WriteStall;
