--- a/crates/lilacpitch-node/src/config.rs
+++ b/crates/lilacpitch-node/src/config.rs
@@ -89,7 +89,8 @@
     pub queued_events: usize,
 }
 
-/// Descriptors reserved for the runtime, the listener, the coordinator's connection and spare ones.
+/// Descriptors reserved for the runtime, the listener, the connections to the coordinator, of which late polls keep
+/// some open, and spare ones.
 const RESERVED_SOCKETS: usize = 32;
 /// One in this many descriptors is for connections to servers.
 const UPSTREAM_FRACTION: usize = 8;
--- a/crates/lilacpitch-node/src/core/callers.rs
+++ b/crates/lilacpitch-node/src/core/callers.rs
@@ -35,6 +35,8 @@
         (caller.last_active_ns, caller.is_evicting) = (self.now, false);
         // Responses, which callers send to releases, need no action.
         let Message::Request(request) = message else { return };
+        // Counted again below if this one is invalid too.
+        let former_invalid_requests = std::mem::take(&mut caller.invalid_requests);
         let handled = match request.method.as_str() {
             "INVITE" => self.handle_invite(id, &request, effects),
             "CANCEL" => self.handle_cancel(id, &request, effects),
@@ -46,26 +48,20 @@
             "ACK" => Ok(()),
             _ => Err((405, "Method Not Allowed")),
         };
-        match handled {
-            Ok(()) => {
-                self.callers.entry(id).and_modify(|caller| caller.invalid_requests = 0);
-            }
-            Err((status, reason)) => {
-                *self.counters.rejected_messages.entry(status).or_default() += 1;
-                effects.push(Effect::ToCaller(id, request.encode_response(status, reason)));
-                self.limit_invalid_requests(id, status, effects);
-            }
+        if let Err((status, reason)) = handled {
+            *self.counters.rejected_messages.entry(status).or_default() += 1;
+            effects.push(Effect::ToCaller(id, request.encode_response(status, reason)));
+            self.count_rejected(id, former_invalid_requests, is_invalid(status), effects);
         }
     }
 
-    /// Disconnects a caller that has sent too many invalid requests in a row.
-    fn limit_invalid_requests(&mut self, id: CallerId, status: u16, effects: &mut Vec<Effect>) {
+    /// Counts a rejected request after `former` invalid ones in a row, and disconnects the caller if it was
+    /// invalid too and these are too many.
+    fn count_rejected(&mut self, id: CallerId, former: u32, is_invalid: bool, effects: &mut Vec<Effect>) {
         let Some(caller) = self.callers.get_mut(&id) else { return };
-        if !is_invalid(status) || caller.is_disconnected {
-            return;
-        }
-        caller.invalid_requests += 1;
-        if caller.invalid_requests >= MAX_INVALID_REQUESTS && caller.open_calls.is_empty() {
+        caller.invalid_requests = former + u32::from(is_invalid);
+        let is_over_limit = is_invalid && caller.invalid_requests >= MAX_INVALID_REQUESTS;
+        if is_over_limit && caller.open_calls.is_empty() && !caller.is_disconnected {
             self.disconnect_caller(id, effects);
         }
     }
--- a/crates/lilacpitch-node/tests/common/mod.rs
+++ b/crates/lilacpitch-node/tests/common/mod.rs
@@ -7,6 +7,7 @@
 use lilacpitch_node::core::{Effect, Input, NodeCore, UpstreamId};
 use lilacpitch_node::signalling::ServerMessage;
 use lilacpitch_sip::{Decoder, Message};
+use proptest::test_runner::{Config as ProptestConfig, RngSeed};
 use serde_json::{json, Value};
 
 /// One millisecond in nanoseconds.
@@ -114,3 +115,17 @@
         }
     }
 }
+
+/// The settings of a property test: the same cases in each run, unless `PROPTEST_RNG_SEED` or `PROPTEST_CASES`
+/// selects others.
+pub(crate) fn proptest_config(default_cases: u32) -> ProptestConfig {
+    let variable = |name| std::env::var(name).ok();
+    let cases = variable("PROPTEST_CASES").and_then(|cases| cases.parse().ok()).unwrap_or(default_cases);
+    let seed = variable("PROPTEST_RNG_SEED").and_then(|seed| seed.parse().ok()).unwrap_or(7);
+    ProptestConfig {
+        cases,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(seed),
+        ..ProptestConfig::default()
+    }
+}
