--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -59,6 +59,7 @@
         "two-attempts" => two_attempts(&run),
         "useless-connection" => useless_connection(&run),
         "connection-limit" => connection_limit(&run),
+        "unwritten-end" => unwritten_end(&run),
         "late-list" => late_list(&run),
         "lost-hang-up" => lost_hang_up(&run),
         _ => Err("no such case".to_string()),
@@ -157,7 +158,7 @@
     let targets =
         [target("s0", first.address, 0, "in_service", 0), target("s1", second.address, 1, "in_service", 0)];
     let coordinator = Coordinator::start("coordinator", &run.record, &targets);
-    let node = run.node("n0", &coordinator, &settings(0..2))?;
+    let node = run.node("n0", &coordinator, &settings(0..2, 0..1))?;
     let caller = run.caller("caller", &node)?;
     let answer = caller.set_up(&call, "reroute", "dest:0;width:1;via:-1", 3_000);
     if answer.map(|answer| answer.status) != Some(200) {
@@ -212,7 +213,7 @@
             .map(|(server, number)| target(&server.name, server.address, number, "in_service", 0)),
     );
     let coordinator = Coordinator::start("coordinator", &run.record, &targets);
-    let node = Node::start("n0", &run.record, &run.folder, &coordinator, &settings(1..OTHERS + 1), 256);
+    let node = Node::start("n0", &run.record, &run.folder, &coordinator, &settings(1..OTHERS + 1, 0..1), 256);
     let node = node.map_err(text)?;
     let caller = run.caller("caller", &node)?;
     // The usual traffic, with several set-ups at a time at each server.
@@ -261,7 +262,7 @@
     let targets =
         [target("s0", first.address, 0, "in_service", 0), target("s1", second.address, 1, "in_service", 0)];
     let coordinator = Coordinator::start("coordinator", &run.record, &targets);
-    let node = run.node("n0", &coordinator, &settings(0..2))?;
+    let node = run.node("n0", &coordinator, &settings(0..2, 0..1))?;
     let caller = run.caller("caller", &node)?;
     let path = "dest:0;width:1;via:-1";
     // Two set-ups at a time make the node open another connection; from then on it takes that one for a set-up while one
@@ -328,7 +329,7 @@
     let targets =
         [target("s0", first.address, 0, "in_service", 0), target("s1", second.address, 1, "in_service", 0)];
     let coordinator = Coordinator::start("coordinator", &run.record, &targets);
-    let node = run.node("n0", &coordinator, &settings(0..2))?;
+    let node = run.node("n0", &coordinator, &settings(0..2, 0..1))?;
     let caller = run.caller("caller", &node)?;
     let answer = caller.set_up(&call, "reroute", "dest:0;width:1;via:-1", 3_000);
     if answer.map(|answer| answer.status) != Some(200) {
@@ -345,8 +346,8 @@
         [target("s0", old.address, 0, "in_service", 0), target("s1", other.address, 1, "in_service", 0)];
     let list_a = Coordinator::start("list of a", &run.record, &targets);
     let list_b = Coordinator::start("list of b", &run.record, &targets);
-    let node_a = run.node("a", &list_a, &settings(0..2))?;
-    let node_b = run.node("b", &list_b, &settings(0..2))?;
+    let node_a = run.node("a", &list_a, &settings(0..2, 0..1))?;
+    let node_b = run.node("b", &list_b, &settings(0..2, 0..1))?;
     let caller = run.caller("caller a", &node_a)?;
     // The usual traffic, by which the front node knows its normal rate to the pool.
     let mut number = 100;
@@ -404,7 +405,7 @@
     let targets =
         [target("s0", proxy.address, 0, "in_service", 0), target("s1", second.address, 1, "in_service", 0)];
     let coordinator = Coordinator::start("coordinator", &run.record, &targets);
-    let node = run.node("n0", &coordinator, &settings(0..2))?;
+    let node = run.node("n0", &coordinator, &settings(0..2, 0..1))?;
     let caller = run.caller("caller", &node)?;
     let answer = caller.set_up(&call, "reroute", "dest:0;width:1;via:-1", 3_000);
     if answer.map(|answer| answer.status) != Some(200) {
@@ -430,3 +431,117 @@
     }
     Ok(released)
 }
+
+/// A server reads a set-up and hangs. Further set-ups fill its connections, so that the end of the first one can't be
+/// written when the node decides on it.
+///
+/// The connection has to be full before that, and not so early that a set-up which is partly written is given up first. How
+/// much a connection takes depends on the kernel, so there are several rounds, with 115 to 160 set-ups a second.
+fn unwritten_end(run: &Run) -> Outcome {
+    for period_us in [7_800, 7_000, 8_700, 7_400, 6_250] {
+        run.note(&format!("a round with a set-up every {period_us} us"));
+        if !unwritten_end_round(run, period_us)? {
+            return Ok(false);
+        }
+    }
+    Ok(true)
+}
+
+fn unwritten_end_round(run: &Run, period_us: u64) -> Outcome {
+    let calls = [1].map(id);
+    let (watched, trouble, mut read) = (calls.clone(), run.trouble, 0);
+    let first = Server::start("s0", &run.record, move |server, launch| {
+        if watched.contains(&launch.uid) && trouble {
+            read += 1;
+            if read == watched.len() {
+                server.hang(true);
+            }
+            return;
+        }
+        // What it reads after it has hung it leaves undone for now.
+        if !server.has_hung() {
+            server.answer(launch);
+            server.end_after(&launch.uid, ms(1_000));
+        }
+    });
+    let others: Vec<Server> =
+        (1..8).map(|number| run.plain_server(&format!("s{number}"), ms(1_000))).collect();
+    let mut targets = vec![target("s0", first.address, 0, "in_service", 0)];
+    targets.extend(
+        others
+            .iter()
+            .zip(1..)
+            .map(|(server, number)| target(&server.name, server.address, number, "in_service", 0)),
+    );
+    let coordinator = Coordinator::start("coordinator", &run.record, &targets);
+    let node = run.node("n0", &coordinator, &settings(0..8, 0..8))?;
+    let caller = run.caller("caller", &node)?;
+    // Two in five set-ups name the first server.
+    let mut traffic = {
+        let (caller, started, mut number) = (caller.clone(), Instant::now(), 0);
+        move |until: Duration| {
+            while started.elapsed() < until {
+                let dest = if number % 5 < 2 { 0 } else { 1 + number % 7 };
+                let path = format!("dest:{dest};width:1;via:-1");
+                caller.invite_long(&id(100 + number), "reroute", &path, 2_700, 15_000);
+                number += 1;
+                let due = Duration::from_micros(number * period_us);
+                std::thread::sleep(due.saturating_sub(started.elapsed()));
+            }
+        }
+    };
+    traffic(ms(3_000));
+    for call in &calls {
+        caller.invite(call, "reroute", "dest:0;width:1;via:-1", 2_700);
+    }
+    let sent_at = Instant::now();
+    let beside = std::thread::spawn(move || traffic(ms(4_500)));
+    // Each next attempt of a watched call, with what the kernel shows of the connection of its first one then.
+    let is_launch = |line: &Line, call: &String| line.kind == "launch" && line.uid == *call;
+    let mut found: Vec<(&String, Line, Option<Wire>)> = Vec::new();
+    while sent_at.elapsed() < ms(2_700) {
+        for call in
+            calls.iter().filter(|call| found.iter().all(|(found, ..)| found != call)).collect::<Vec<_>>()
+        {
+            let next = others.iter().find_map(|server| server.wait_for(ms(0), |line| is_launch(line, call)));
+            let launch = first.wait_for(ms(0), |line| is_launch(line, call));
+            let (Some(next), Some(launch)) = (next, launch) else { continue };
+            let wire = first.wire(launch.connection);
+            run.note(&format!(
+                "{call}: the next attempt reached another server {} ms after the first one; the first one's \
+                 connection {}: {wire:?}",
+                next.at.duration_since(launch.at).as_millis(),
+                launch.connection
+            ));
+            found.push((call, launch, wire));
+        }
+        std::thread::sleep(ms(1));
+    }
+    first.hang(false);
+    let _ = beside.join();
+    // It reads on until the node's end of each connection, which takes its time as little fits into a buffer.
+    let until = Instant::now() + ms(40_000);
+    while Instant::now() < until
+        && found.iter().any(|(_, launch, _)| first.open_connections().contains(&launch.connection))
+    {
+        std::thread::sleep(ms(10));
+    }
+    let mut is_kept = true;
+    for (call, launch, wire) in &found {
+        let end = first.wait_for(ms(0), |line| {
+            line.kind == "stop" && line.uid == **call && line.connection == launch.connection
+        });
+        let (end, read) = (end.map(|line| line.end), first.read_bytes(launch.connection));
+        // Given up is an attempt whose connection was closed, or whose end was written: it is among the bytes written.
+        // If not all of these were read in the end, that is not known.
+        let is_given_up = wire.as_ref().is_none_or(|wire| {
+            !wire.is_open || read < wire.written || end.is_some_and(|end| end <= wire.written)
+        });
+        run.note(&format!(
+            "{call}: {read} bytes were read in the end, the end of the first attempt up to byte {end:?}; given up: {is_given_up}"
+        ));
+        is_kept &= is_given_up;
+    }
+    run.note(&format!("{} calls had another attempt", found.len()));
+    Ok(is_kept)
+}
--- a/review/standins-2/platform.rs
+++ b/review/standins-2/platform.rs
@@ -6,6 +6,7 @@
 use std::fs::File;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::ops::Range;
 use std::os::fd::AsRawFd;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
@@ -99,6 +100,8 @@
     pub uid: String,
     pub cause: Option<u64>,
     pub left_ms: u64,
+    /// Where it ends in the bytes of its connection.
+    pub end: u64,
 }
 
 /// What happened to the attempts of a call at a server.
@@ -124,6 +127,14 @@
     useless: BTreeSet<usize>,
     /// Releases that are sent on the next connection as well.
     for_next_connection: Vec<String>,
+    /// Whether the server hangs: it reads and sends nothing.
+    hangs: bool,
+    /// Until when it sends nothing after that.
+    silent_until: Instant,
+    /// Whether it has hung before.
+    hung: bool,
+    /// Bytes read, by connection, and for each line its end in the stream.
+    read_bytes: BTreeMap<usize, u64>,
     /// Most connections; at the limit the server does not listen.
     max_connections: usize,
 }
@@ -145,6 +156,13 @@
         Server::start_at(name, address, usize::MAX, record, policy)
     }
 
+    /// Has the server's connections take in little that it has not read.
+    fn with_small_buffers(listener: &TcpListener) {
+        let bytes = 4096i32;
+        // SOL_SOCKET, SO_RCVBUF of Linux.
+        unsafe { setsockopt(listener.as_raw_fd(), 1, 8, &bytes, 4) };
+    }
+
     pub fn start_at(
         name: &str,
         address: SocketAddr,
@@ -153,12 +171,17 @@
         policy: impl FnMut(&Server, &Line) + Send + 'static,
     ) -> Server {
         let listener = TcpListener::bind(address).expect("free address");
+        Server::with_small_buffers(&listener);
         let state = ServerState {
             connections: Vec::new(),
             lines: Vec::new(),
             history: Vec::new(),
             standing: BTreeMap::new(),
             useless: BTreeSet::new(),
+            hangs: false,
+            silent_until: Instant::now(),
+            hung: false,
+            read_bytes: BTreeMap::new(),
             for_next_connection: Vec::new(),
             max_connections,
         };
@@ -202,10 +225,13 @@
     }
 
     fn read(&self, stream: &TcpStream, connection: usize) {
-        let mut lines = BufReader::new(stream);
+        let mut lines = BufReader::new(Hanging { server: self, stream, connection });
+        let mut end = 0;
         loop {
             let mut text = String::new();
-            if lines.read_line(&mut text).unwrap_or(0) == 0 {
+            let count = lines.read_line(&mut text).unwrap_or(0);
+            end += count as u64;
+            if count == 0 {
                 self.record.write(&self.name, &format!("connection {connection} ended"));
                 lock(&self.state.0).connections[connection] = None;
                 self.state.1.notify_all();
@@ -217,6 +243,7 @@
                 kind: field(&text, "kind").unwrap_or_default(),
                 uid: field(&text, "uid").unwrap_or_default(),
                 cause: number_field(&text, "reason"),
+                end,
                 left_ms: field(&text, "left").and_then(|left| left.parse().ok()).unwrap_or(0),
             };
             let cause = line.cause.map_or(String::new(), |cause| format!(" cause {cause}"));
@@ -243,6 +270,9 @@
 
     /// Sends a line on a connection, if it is open.
     pub fn send(&self, connection: usize, line: &str) {
+        while self.is_silent() {
+            std::thread::sleep(ms(5));
+        }
         let (stream, is_useless) = {
             let state = lock(&self.state.0);
             (state.connections.get(connection).cloned().flatten(), state.useless.contains(&connection))
@@ -352,6 +382,90 @@
     }
 }
 
+/// Reads from a connection, unless the server hangs, and counts the bytes.
+struct Hanging<'a> {
+    server: &'a Server,
+    stream: &'a TcpStream,
+    connection: usize,
+}
+
+impl Read for Hanging<'_> {
+    fn read(&mut self, buffer: &mut [u8]) -> std::io::Result<usize> {
+        while lock(&self.server.state.0).hangs {
+            std::thread::sleep(ms(5));
+        }
+        let count = (&*self.stream).read(buffer)?;
+        *lock(&self.server.state.0).read_bytes.entry(self.connection).or_default() += count as u64;
+        Ok(count)
+    }
+}
+
+/// What the kernel's table of sockets shows of a connection at its node's side.
+#[derive(Debug)]
+pub struct Wire {
+    /// Whether the node has neither closed nor shut it down.
+    pub is_open: bool,
+    /// At most this many bytes were written by the node so far.
+    pub written: u64,
+    /// How many of them the server's machine has not taken in.
+    pub to_send: u64,
+}
+
+/// Returns the state, the bytes to send and the bytes to read of a socket, by its two ports.
+fn socket(local: u16, remote: u16) -> Option<(u8, u64, u64)> {
+    let table = std::fs::read_to_string("/proc/net/tcp").ok()?;
+    table.lines().skip(1).find_map(|line| {
+        let fields: Vec<&str> = line.split_whitespace().collect();
+        let port = |field: &str| u16::from_str_radix(field.rsplit(':').next()?, 16).ok();
+        if port(fields.get(1)?)? != local || port(fields.get(2)?)? != remote {
+            return None;
+        }
+        let (to_send, to_read) = fields.get(4)?.split_once(':')?;
+        let number = |text: &str| u64::from_str_radix(text, 16).ok();
+        Some((u8::from_str_radix(fields.get(3)?, 16).ok()?, number(to_send)?, number(to_read)?))
+    })
+}
+
+impl Server {
+    /// Has the server hang, or go on: it reads what has arrived before it sends again.
+    pub fn hang(&self, hangs: bool) {
+        self.record.write(&self.name, if hangs { "hangs" } else { "goes on" });
+        let mut state = lock(&self.state.0);
+        state.hangs = hangs;
+        state.hung = true;
+        state.silent_until = Instant::now() + ms(60_000);
+    }
+
+    /// Whether it hangs, or has hung.
+    pub fn has_hung(&self) -> bool {
+        lock(&self.state.0).hung
+    }
+
+    /// Whether it hangs, or did so shortly before.
+    fn is_silent(&self) -> bool {
+        let state = lock(&self.state.0);
+        state.hangs || (state.silent_until > Instant::now() && state.hung)
+    }
+
+    /// How many bytes were read from a connection.
+    pub fn read_bytes(&self, connection: usize) -> u64 {
+        lock(&self.state.0).read_bytes.get(&connection).copied().unwrap_or(0)
+    }
+
+    /// What the kernel shows of a connection.
+    pub fn wire(&self, connection: usize) -> Option<Wire> {
+        let (peer, read) = {
+            let state = lock(&self.state.0);
+            let stream = state.connections.get(connection)?.clone()?;
+            (stream.peer_addr().ok()?.port(), state.read_bytes.get(&connection).copied().unwrap_or(0))
+        };
+        let (status, to_send, _) = socket(peer, self.address.port())?;
+        let (_, _, to_read) = socket(self.address.port(), peer)?;
+        // 1 is ESTABLISHED.
+        Some(Wire { is_open: status == 1, written: read + to_read + to_send, to_send })
+    }
+}
+
 // ---- The coordinator ----
 
 #[derive(Default)]
@@ -528,6 +642,13 @@
         let _ = (&*self.stream).write_all(text.as_bytes());
     }
 
+    /// Sends a set-up with a description of this length.
+    pub fn invite_long(&self, call: &str, kind: &str, path: &str, left_ms: u64, length: usize) {
+        self.record
+            .write(&self.name, &format!("-> INVITE {call} {kind} {path} {left_ms} ms, {length} bytes"));
+        self.send(&invite(call, kind, path, left_ms, &OFFER.repeat(length / OFFER.len())));
+    }
+
     /// Sends a set-up.
     pub fn invite(&self, call: &str, kind: &str, path: &str, left_ms: u64) {
         self.record.write(&self.name, &format!("-> INVITE {call} {kind} {path} {left_ms} ms"));
@@ -695,9 +816,8 @@
     child: Child,
 }
 
-/// Two classes as at the site `south-routing`. The second may be directed to the pool 0 only, the first to these
-/// pools.
-pub fn settings(pools: std::ops::Range<usize>) -> String {
+/// Two classes as at the site `south-routing`, with the pools that each may be directed to.
+pub fn settings(first: Range<usize>, second: Range<usize>) -> String {
     let class = |name: &str, aim_ms: u64, worth: u32| {
         format!(
             "{{\"name\":\"{name}\",\"aim_ns\":{aim_ms}000000,\"deadline_ns\":9000000000,\"worth\":{worth}.0,\
@@ -705,13 +825,13 @@
              \"stream\":true}}"
         )
     };
-    let first: Vec<String> = pools.map(|pool| pool.to_string()).collect();
-    let first = first.join(",");
+    let list = |pools: Range<usize>| pools.map(|pool| pool.to_string()).collect::<Vec<_>>().join(",");
+    let (first, second) = (list(first), list(second));
     format!(
         "{{\"balancers\":2,\"classes\":[{},{}],\"clients\":{{\"marks_retry\":false}},\"dcs\":[\"east\"],\
          \"discovery\":\"pushed\",\"family\":\"trunks\",\"family_info\":{{\"centre_advises\":false,\
          \"channels_needed\":[1,1],\"far_state\":\"answers\",\"gives_wait\":true,\"home_no\":-1,\
-         \"mean_hold_ns\":[8100000000,12100000000],\"pools_by_class\":[[{first}],[0]],\"release_ns\":300000000,\
+         \"mean_hold_ns\":[8100000000,12100000000],\"pools_by_class\":[[{first}],[{second}]],\"release_ns\":300000000,\
          \"retransmit_ns\":400000000,\"shape\":\"pools\"}},\"index\":0,\"models\":[\"std\"],\"permissions\":{{\
          \"cancel\":true,\"conn_idle_ns\":600000000000,\"connect_timeout_ns\":500000000,\"max_attempts\":6,\
          \"max_open\":20000,\"max_retry_after_ns\":2000000000,\"may_duplicate\":false,\"peers\":false,\
