Front node: the release of an attempt begins when its end is written

Cause: the core completed an attempt with the decision to give it up, at a time-out, a call-off, a CANCEL and a caller's leaving, and nothing told it when the stop was written. Ids were free again the release time after the decision as well.

Change: the connection reports when the stop is completely written; until then, or until the connection has ended, the attempt is not completed and its id is in use. A stop that is not written within the release time ends its connection. A call whose time is up is answered meanwhile and gets no further attempt, since the module's deadline has passed by then.

--- a/crates/lilacpitch-edge/tests/node/main.rs
+++ b/crates/lilacpitch-edge/tests/node/main.rs
@@ -2,6 +2,7 @@
 //! servers and a coordinator, checked by the messages on their sockets.
 
 mod active_calls;
+mod attempt_ends;
 mod bursts;
 mod callers;
 mod coordinator;
--- a/crates/lilacpitch-edge/tests/node/standin.rs
+++ b/crates/lilacpitch-edge/tests/node/standin.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
@@ -37,6 +38,8 @@
     pub at: Instant,
     /// The connection, by its index among those accepted.
     pub connection: usize,
+    /// Number of bytes that were sent on the connection up to the line's end.
+    pub end_byte: u64,
     /// The line; `None` for the end of the connection.
     pub value: Option<Value>,
 }
@@ -57,9 +60,28 @@
     connections: Arc<Mutex<Vec<Option<TcpStream>>>>,
     lines: Receiver<ServerLine>,
     is_listening: Arc<Mutex<bool>>,
+    /// Whether the server reads nothing more for now.
+    is_hanging: Arc<AtomicBool>,
 }
 
 impl Server {
+    /// Starts a server whose connections are soon full if it hangs.
+    pub(crate) fn with_small_buffers() -> Server {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        nix::sys::socket::setsockopt(&listener, nix::sys::socket::sockopt::RcvBuf, &4096).unwrap();
+        Server::on_listener(listener)
+    }
+
+    /// Makes the server read nothing more after the current line, or go on.
+    pub(crate) fn hang(&self, is_hanging: bool) {
+        self.is_hanging.store(is_hanging, Ordering::SeqCst);
+    }
+
+    /// Returns the node's address of a connection.
+    pub(crate) fn node_address(&self, connection: usize) -> Option<SocketAddr> {
+        self.connections.lock().unwrap()[connection].as_ref()?.peer_addr().ok()
+    }
+
     pub(crate) fn start() -> Server {
         // Not an ephemeral port, so that another server can listen on it later.
         Server::on_listener(TcpListener::bind(lilacpitch_net::free_addresses(1).unwrap()[0]).unwrap())
@@ -69,6 +91,8 @@
         let address = listener.local_addr().unwrap();
         let (connections, (sender, lines)) = (Arc::new(Mutex::new(Vec::new())), channel());
         let is_listening = Arc::new(Mutex::new(true));
+        let is_hanging = Arc::new(AtomicBool::new(false));
+        let may_hang = is_hanging.clone();
         let (accepted, may_accept) = (connections.clone(), is_listening.clone());
         std::thread::spawn(move || {
             for stream in listener.incoming() {
@@ -81,11 +105,11 @@
                     accepted.push(Some(stream.try_clone().unwrap()));
                     accepted.len() - 1
                 };
-                let sender = sender.clone();
-                std::thread::spawn(move || read_lines(stream, connection, &sender));
+                let (sender, may_hang) = (sender.clone(), may_hang.clone());
+                std::thread::spawn(move || read_lines(stream, connection, &sender, &may_hang));
             }
         });
-        Server { address, connections, lines, is_listening }
+        Server { address, connections, lines, is_listening, is_hanging }
     }
 
     /// Waits for the next line of this kind; skips others and the ends of connections.
@@ -182,18 +206,24 @@
 }
 
 /// Reads the lines of a connection to its end.
-fn read_lines(stream: TcpStream, connection: usize, sender: &Sender<ServerLine>) {
-    let mut lines = BufReader::new(stream);
+fn read_lines(stream: TcpStream, connection: usize, sender: &Sender<ServerLine>, is_hanging: &AtomicBool) {
+    let mut lines = BufReader::with_capacity(512, stream);
+    let mut end_byte = 0;
     loop {
         let mut text = String::new();
         let value = match lines.read_line(&mut text) {
-            Ok(count) if count > 0 => Some(serde_json::from_str(&text).expect("line is not JSON")),
+            // A line whose connection has ended within it was not received.
+            Ok(_) if text.ends_with('\n') => Some(serde_json::from_str(&text).expect("line is not JSON")),
             _ => None,
         };
         let has_ended = value.is_none();
-        if sender.send(ServerLine { at: Instant::now(), connection, value }).is_err() || has_ended {
+        end_byte += text.len() as u64;
+        if sender.send(ServerLine { at: Instant::now(), connection, end_byte, value }).is_err() || has_ended {
             return;
         }
+        while is_hanging.load(Ordering::SeqCst) {
+            std::thread::sleep(ms(1));
+        }
     }
 }
 
--- a/crates/lilacpitch-net/src/connection.rs
+++ b/crates/lilacpitch-net/src/connection.rs
@@ -55,6 +55,8 @@
     Message(M),
     /// The outgoing message with this number was dropped unwritten because its deadline had passed.
     MessageDropped(u64),
+    /// The outgoing message with this number is completely written, as its owner had asked to be told.
+    MessageWritten(u64),
     /// The queue of outgoing messages is empty, as its owner had asked to be told. Counts as a message that
     /// the owner has to process.
     Drained,
@@ -78,6 +80,9 @@
     /// The peer did not read for too long, and too much waits for it.
     #[error("peer does not read")]
     NotReading,
+    /// A message was not completely written in time.
+    #[error("writing: a message is overdue")]
+    WriteOverdue,
     /// The peer did not complete a message in time.
     #[error("read timeout: no complete message")]
     ReadTimeout,
@@ -234,6 +239,7 @@
         let has_output = queued.messages > 0;
         let is_paused = self.write_limits.is_some_and(|limits| queued.bytes > limits.pause_reading_bytes);
         let stall_deadline = self.stall_deadline(is_paused, peer);
+        let write_by = self.outbox.write_by().map(|due| self.clock.instant(due));
         tokio::select! {
             ready = self.stream.ready(Interest::READABLE), if !is_paused => {
                 let read = ready.and_then(|ready| {
@@ -268,7 +274,31 @@
             () = sleep_until(stall_deadline), if stall_deadline.is_some() => {
                 self.step_after_stall(peer, on_event).await
             }
+            () = sleep_until(write_by), if write_by.is_some() => {
+                self.step_after_overdue(peer, on_event).await
+            }
+        }
+    }
+
+    /// Ends the connection if a message that must have been written by now can't be written: this process may
+    /// have stalled, and not the peer.
+    async fn step_after_overdue(
+        &mut self,
+        peer: &mut PeerState<impl Fn()>,
+        on_event: &mut impl AsyncFnMut(ConnectionEvent<C::Message>) -> bool,
+    ) -> Step<C::Error> {
+        // Lets the runtime poll the socket.
+        tokio::task::yield_now().await;
+        let now = self.clock.now();
+        let is_overdue = |outbox: &Outbox| outbox.write_by().is_some_and(|due| due <= now);
+        while is_overdue(&self.outbox) {
+            match self.write_to_peer(Ok(()), peer, on_event).await {
+                (0, Step::Continue) => return Step::End(EndReason::WriteOverdue),
+                (_, Step::Continue) => {}
+                (_, step) => return step,
+            }
         }
+        Step::Continue
     }
 
     /// Ends the connection of a peer that has accepted nothing for too long, unless it does now: this process
@@ -457,7 +487,7 @@
         Ok(progress)
     }
 
-    /// Reports messages that were dropped, and an empty queue if the owner has asked for it.
+    /// Reports messages that were dropped or are written, and an empty queue if the owner has asked for it.
     async fn report_progress(
         &self,
         progress: WriteProgress,
@@ -466,6 +496,9 @@
         for number in progress.expired {
             on_event(ConnectionEvent::MessageDropped(number)).await;
         }
+        for number in progress.reported {
+            on_event(ConnectionEvent::MessageWritten(number)).await;
+        }
         if self.outbox.take_empty_report() {
             on_event(ConnectionEvent::Drained).await;
         }
@@ -479,8 +512,8 @@
         has_peer_closed: bool,
     ) -> (ConnectionEnd<C::Error>, ClosingConnection) {
         let outbox = &self.outbox;
-        let is_cut_off =
-            matches!(reason, EndReason::NotReading) || outbox.close_mode() == Some(CloseMode::Immediately);
+        let is_not_writable = matches!(reason, EndReason::NotReading | EndReason::WriteOverdue);
+        let is_cut_off = is_not_writable || outbox.close_mode() == Some(CloseMode::Immediately);
         let must_flush = !has_peer_closed && !is_cut_off;
         let written = outbox.written();
         // Messages that were queued before the end are still written, if the peer reads.
--- a/crates/lilacpitch-net/src/outbox.rs
+++ b/crates/lilacpitch-net/src/outbox.rs
@@ -24,6 +24,9 @@
     pub bytes: Vec<u8>,
     /// Its deadline: it is not written after this time. `None` for no deadline.
     pub not_after_ns: Option<Nanos>,
+    /// By when it must be completely written: the connection ends if it is not, and the owner is told when it
+    /// is. `None` for any time.
+    pub write_by_ns: Option<Nanos>,
 }
 
 /// How a connection is to be closed, in ascending order of precedence.
@@ -68,6 +71,8 @@
     pub accepted_bytes: usize,
     /// Numbers of the messages that were dropped unwritten because their deadline had passed.
     pub expired: Vec<u64>,
+    /// Numbers of the messages that are now completely written, of those whose owner is told.
+    pub reported: Vec<u64>,
     /// Whether the deadline of a partly written message has passed, so that it must not be completed.
     pub is_partial_expired: bool,
 }
@@ -89,6 +94,8 @@
     queued_bytes: Charge,
     /// One more than the number of the last message that was written at least in part.
     written: u64,
+    /// When the messages in the queue that have a time by which they must be written are due, oldest first.
+    write_by: VecDeque<Nanos>,
     close_mode: Option<CloseMode>,
 }
 
@@ -122,6 +129,7 @@
     pub fn push(&self, message: OutgoingMessage) {
         let mut state = self.0.state.borrow_mut();
         state.queued_bytes.add(message.bytes.len());
+        state.write_by.extend(message.write_by_ns);
         state.queue.push_back(message);
         self.0.changed.notify_one();
     }
@@ -132,7 +140,12 @@
         QueueSize { messages: state.queue.len(), bytes: state.queued_bytes.get() - state.first_written_bytes }
     }
 
-    /// Cancels a message, unless some of it is written.
+    /// Returns by when the first message that has such a time must be completely written.
+    pub fn write_by(&self) -> Option<Nanos> {
+        self.0.state.borrow().write_by.front().copied()
+    }
+
+    /// Cancels a message, unless some of it is written. Not for one that must be written by some time.
     pub fn cancel(&self, number: u64) -> CancelOutcome {
         let mut state = self.0.state.borrow_mut();
         let Some(index) = state.queue.iter().position(|message| message.number == number) else {
@@ -235,16 +248,16 @@
         }
         let expired = state.remove_expired(is_expired);
         let buffer = state.write_buffer();
-        let mut accepted_bytes = 0;
+        let (mut accepted_bytes, mut reported) = (0, Vec::new());
         if buffer.len() > state.first_written_bytes {
             accepted_bytes = match write(&buffer[state.first_written_bytes..]) {
                 Ok(count) => count,
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => 0,
                 Err(e) => return Err(e),
             };
-            state.remove_written(accepted_bytes);
+            reported = state.remove_written(accepted_bytes);
         }
-        Ok(WriteProgress { accepted_bytes, expired, is_partial_expired: false })
+        Ok(WriteProgress { accepted_bytes, expired, reported, is_partial_expired: false })
     }
 
     /// Returns how many of the connection's messages are written, at least in part.
@@ -259,6 +272,7 @@
         let mut state = self.0.state.borrow_mut();
         let first_written_bytes = std::mem::take(&mut state.first_written_bytes);
         let queue = std::mem::take(&mut state.queue);
+        state.write_by.clear();
         let charge = state.queued_bytes.take();
         if first_written_bytes > 0 && queue.front().is_some_and(|first| first.not_after_ns.is_some()) {
             return FinalBytes::default();
@@ -273,6 +287,7 @@
         let mut state = self.0.state.borrow_mut();
         state.first_written_bytes = 0;
         state.queued_bytes.set(0);
+        state.write_by.clear();
         std::mem::take(&mut state.queue).into()
     }
 }
@@ -304,8 +319,10 @@
         buffer
     }
 
-    /// Records `count` more bytes as written, and removes the messages that they complete.
-    fn remove_written(&mut self, mut count: usize) {
+    /// Records `count` more bytes as written, and removes the messages that they complete. Returns the numbers
+    /// of those whose owner is told.
+    fn remove_written(&mut self, mut count: usize) -> Vec<u64> {
+        let mut reported = Vec::new();
         while count > 0 {
             let Some(first) = self.queue.front() else { break };
             let (number, remaining) = (first.number, first.bytes.len() - self.first_written_bytes);
@@ -316,7 +333,13 @@
             }
             count -= remaining;
             self.first_written_bytes = 0;
-            self.queued_bytes.remove(self.queue.pop_front().map_or(0, |message| message.bytes.len()));
+            let Some(message) = self.queue.pop_front() else { break };
+            self.queued_bytes.remove(message.bytes.len());
+            if message.write_by_ns.is_some() {
+                self.write_by.pop_front();
+                reported.push(message.number);
+            }
         }
+        reported
     }
 }
--- a/crates/lilacpitch-net/tests/connection.rs
+++ b/crates/lilacpitch-net/tests/connection.rs
@@ -2,14 +2,14 @@
 //! reads, writes and closes, and when the owner processes messages.
 
 use lilacpitch_net::{
-    CancelOutcome, Clock, CloseMode, Codec, Connection, ConnectionEnd, ConnectionEvent, DrainQuota, Outbox,
-    OutgoingMessage, QueueSize, WriteLimits,
+    CancelOutcome, Clock, CloseMode, Codec, Connection, ConnectionEnd, ConnectionEvent, DrainQuota,
+    EndReason, Outbox, OutgoingMessage, QueueSize, WriteLimits,
 };
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::future::Future;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::Notify;
@@ -53,6 +53,8 @@
     clock: Clock,
     received: Rc<RefCell<Vec<String>>>,
     dropped: Rc<RefCell<Vec<u64>>>,
+    /// Numbers of the messages that are reported as written.
+    written: Rc<RefCell<Vec<u64>>>,
     is_disconnected: Rc<Cell<bool>>,
     /// Number of reports of an empty queue.
     drained: Rc<Cell<usize>>,
@@ -77,6 +79,7 @@
         let (outbox, clock) = (Outbox::default(), Clock::start());
         let received: Rc<RefCell<Vec<String>>> = Rc::default();
         let dropped: Rc<RefCell<Vec<u64>>> = Rc::default();
+        let written: Rc<RefCell<Vec<u64>>> = Rc::default();
         let is_disconnected = Rc::new(Cell::new(false));
         let drained = Rc::new(Cell::new(0));
         let (is_processing, resumed) = (Rc::new(Cell::new(true)), Rc::new(Notify::new()));
@@ -89,7 +92,7 @@
             outbox: outbox.clone(),
         };
         let shared = (outbox.clone(), received.clone(), dropped.clone(), is_disconnected.clone());
-        let drained_count = drained.clone();
+        let (drained_count, written_messages) = (drained.clone(), written.clone());
         let (may_process, on_resume) = (is_processing.clone(), resumed.clone());
         let end = spawn_local(async move {
             let (outbox, received, dropped, is_disconnected) = shared;
@@ -105,12 +108,14 @@
                                 number: 0,
                                 bytes: b"answer\n".to_vec(),
                                 not_after_ns: None,
+                                write_by_ns: None,
                             });
                         }
                         received.borrow_mut().push(line);
                         outbox.record_processed();
                     }
                     ConnectionEvent::MessageDropped(number) => dropped.borrow_mut().push(number),
+                    ConnectionEvent::MessageWritten(number) => written_messages.borrow_mut().push(number),
                     ConnectionEvent::Drained => {
                         drained_count.set(drained_count.get() + 1);
                         outbox.record_processed();
@@ -128,6 +133,7 @@
             clock,
             received,
             dropped,
+            written,
             is_disconnected,
             drained,
             is_processing,
@@ -139,12 +145,28 @@
 
     /// Queues a message that repeats one letter, and returns its number.
     fn push(&mut self, letter: u8, bytes: usize, not_after_ns: Option<u64>) -> u64 {
+        self.push_timed(letter, bytes, not_after_ns, None)
+    }
+
+    /// Queues a message that must be written by some time.
+    fn push_due(&mut self, letter: u8, write_by_ns: u64) -> u64 {
+        self.push_timed(letter, 10, None, Some(write_by_ns))
+    }
+
+    fn push_timed(
+        &mut self,
+        letter: u8,
+        bytes: usize,
+        not_after_ns: Option<u64>,
+        write_by_ns: Option<u64>,
+    ) -> u64 {
         let number = self.next_number;
         self.next_number += 1;
         self.outbox.push(OutgoingMessage {
             number,
             bytes: [vec![letter; bytes], vec![b'\n']].concat(),
             not_after_ns,
+            write_by_ns,
         });
         number
     }
@@ -492,3 +514,38 @@
         }
     });
 }
+
+/// Guards against a second attempt beside one whose end is not written: the owner can tell when it is.
+#[test]
+fn reports_a_message_once_it_is_written_whole() {
+    run_local(|| async {
+        let mut connection = TestConnection::new().await;
+        connection.fill_socket().await;
+        let due = connection.push_due(b'e', connection.clock.now() + 60_000_000_000);
+        connection.wait_until_stable().await;
+        assert_eq!(*connection.written.borrow(), [] as [u64; 0], "reported before it is written");
+        let mut chunk = vec![0; 64 * 1024];
+        while connection.written.borrow().is_empty() {
+            assert!(connection.peer.read(&mut chunk).await.unwrap() > 0);
+        }
+        assert_eq!(*connection.written.borrow(), [due]);
+        assert_eq!(connection.outbox.write_by(), None);
+    });
+}
+
+#[test]
+fn ends_with_a_message_that_is_not_written_in_time_unless_the_peer_reads() {
+    run_local(|| async {
+        let mut connection = TestConnection::new().await;
+        let due_ns = connection.clock.now() + 100_000_000;
+        let written = connection.push_due(b'e', due_ns);
+        connection.read_line(10).await;
+        connection.fill_socket().await;
+        let pushed = Instant::now();
+        connection.push_due(b'f', connection.clock.now() + 200_000_000);
+        let end = connection.end.await.unwrap();
+        assert!(matches!(end.reason, EndReason::WriteOverdue), "{}", end.reason);
+        assert!(pushed.elapsed() >= Duration::from_millis(200), "after {:?}", pushed.elapsed());
+        assert_eq!(*connection.written.borrow(), [written]);
+    });
+}
--- a/crates/lilacpitch-node/src/core/active_calls.rs
+++ b/crates/lilacpitch-node/src/core/active_calls.rs
@@ -53,6 +53,7 @@
             attempt: Some(attempt),
             attempt_count: 1,
             used_upstreams: Vec::new(),
+            answer_by_ns: 0,
             established_ns: self.now,
             charged_bytes,
         };
@@ -129,7 +130,7 @@
     /// Sends a call's server a release, on the connection of its set-up or else on another.
     fn release_at_server(&mut self, attempt: Attempt, wire_id: u64, effects: &mut Vec<Effect>) {
         let setup_upstream = match attempt.state {
-            AttemptState::Established(upstream) => Some(upstream).filter(|id| self.is_upstream_up(*id)),
+            AttemptState::Established(upstream) => Some(upstream).filter(|id| self.is_upstream_usable(*id)),
             _ => None,
         };
         let bytes = signalling::encode_stop(wire_id, CAUSE_NORMAL);
--- a/crates/lilacpitch-node/src/core/attempts.rs
+++ b/crates/lilacpitch-node/src/core/attempts.rs
@@ -1,4 +1,4 @@
-//! Attempts: how they are forwarded to a server, cancelled or timed out, and completed once with an outcome.
+//! Attempts: how they are forwarded to a server, and completed once with an outcome.
 
 use super::counters::outcome_name;
 use super::records::{Attempt, AttemptState};
@@ -8,10 +8,6 @@
 use lilacpitch::interface::{CallId, LoadReport, Nanos, Outcome, ServerId};
 use lilacpitch::Event;
 
-/// How long cancelled set-ups are kept, so that their late answers are recognized: longer than any answer
-/// observed.
-const CANCELLED_RETENTION_NS: Nanos = 30_000_000_000;
-
 /// Identifies an attempt to the controller.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct AttemptId {
@@ -28,6 +24,11 @@
     pub(super) fn id(&self, call: CallId) -> AttemptId {
         AttemptId { call, number: self.number, server: self.server }
     }
+
+    /// Whether it is given up and waits for its end to be written.
+    pub(super) fn is_ending(&self) -> bool {
+        matches!(self.state, AttemptState::Ending { .. })
+    }
 }
 
 impl NodeCore {
@@ -85,39 +86,12 @@
 
     /// Cancels an attempt, as the controller has decided, unless it was answered meanwhile.
     pub(super) fn cancel_attempt(&mut self, id: CallId, number: u32, effects: &mut Vec<Effect>) {
-        let unanswered = self.calls.get(&id).filter(|call| !call.is_established());
-        if unanswered.and_then(|call| call.attempt).is_some_and(|attempt| attempt.number == number) {
+        let attempt = self.calls.get(&id).and_then(|call| call.attempt);
+        if attempt.is_some_and(|attempt| attempt.number == number && !attempt.is_ending()) {
             self.abort_attempt(id, Outcome::Cancelled, effects);
         }
     }
 
-    /// Aborts an unanswered attempt and cancels it at its server.
-    pub(super) fn abort_attempt(&mut self, id: CallId, outcome: Outcome, effects: &mut Vec<Effect>) {
-        let Some(call) = self.calls.get(&id).filter(|call| !call.is_established()) else { return };
-        let attempt = call.attempt;
-        self.cancel_at_server(id, effects);
-        if let Some(Attempt { state: AttemptState::InFlight(upstream, _), sent_ns, .. }) = attempt {
-            self.record_unanswered(upstream, sent_ns, effects);
-        }
-        self.complete_attempt(id, outcome, LoadReport::default());
-    }
-
-    /// Cancels a call's attempt at its server, if the set-up is in flight.
-    pub(super) fn cancel_at_server(&mut self, id: CallId, effects: &mut Vec<Effect>) {
-        let Some(call) = self.calls.get(&id) else { return };
-        let (wire_id, attempt) = (call.wire_id, call.attempt);
-        let Some(AttemptState::InFlight(upstream, message)) = attempt.map(|attempt| attempt.state) else {
-            return;
-        };
-        let until_ns = self.now + CANCELLED_RETENTION_NS;
-        let Some(connection) = self.upstreams.get_mut(&upstream) else { return };
-        connection.record_cancelled(wire_id, until_ns);
-        let stop_message = connection.next_message;
-        connection.next_message += 1;
-        let bytes = signalling::encode_stop(wire_id, signalling::CAUSE_NORMAL);
-        effects.push(Effect::CancelSetup { upstream, message, stop_message, bytes });
-    }
-
     /// Completes an attempt that did not succeed. The controller may retry the call.
     pub(super) fn complete_attempt(&mut self, id: CallId, outcome: Outcome, report: LoadReport) {
         if let Some(attempt) = self.remove_attempt(id) {
@@ -130,7 +104,9 @@
         let attempt = self.calls.get_mut(&id)?.attempt.take()?;
         self.timers.clear(Timer::AttemptTimeout(id));
         match attempt.state {
-            AttemptState::Queued(upstream) | AttemptState::InFlight(upstream, _) => {
+            AttemptState::Queued(upstream)
+            | AttemptState::InFlight(upstream, _)
+            | AttemptState::Ending { upstream, .. } => {
                 self.upstreams.entry(upstream).and_modify(|upstream| _ = upstream.setups.remove(&id));
             }
             AttemptState::Established(_) => {
--- a/crates/lilacpitch-node/src/core/callers.rs
+++ b/crates/lilacpitch-node/src/core/callers.rs
@@ -125,7 +125,8 @@
         // The id also stays in use while ends of its previous call may still arrive, since they carry only
         // the id.
         let is_retired = self.retired_wire_ids.get(&wire_id).is_some_and(|until_ns| self.now < *until_ns);
-        if self.calls_by_wire_id.contains_key(&wire_id) || is_retired {
+        let is_ending = self.ending_wire_ids.contains(&wire_id);
+        if self.calls_by_wire_id.contains_key(&wire_id) || is_ending || is_retired {
             return Err((482, "Call-ID In Use"));
         }
         if !self.has_endpoint_list || self.is_admission_closed {
--- a/crates/lilacpitch-node/src/core/calls.rs
+++ b/crates/lilacpitch-node/src/core/calls.rs
@@ -53,6 +53,7 @@
             retry_after_cut: request.may_retry_after_cut,
             in_transit: false,
         };
+        let answer_by_ns = self.now + arrived.budget_ns;
         let call = Call {
             caller,
             wire_id: request.wire_id,
@@ -65,6 +66,7 @@
             attempt: None,
             attempt_count: 0,
             used_upstreams: Vec::new(),
+            answer_by_ns,
             established_ns: 0,
             charged_bytes,
         };
@@ -166,12 +168,8 @@
         }
         self.counters.cancelled += 1;
         self.pending_events.push_back(Event::ClientDisconnected(id));
-        self.cancel_at_server(id, effects);
-        let attempt = self.remove_attempt(id);
+        self.cancel_open_attempt(id, effects);
         self.remove_call(id);
-        if let Some(attempt) = attempt {
-            self.record_outcome(attempt.id(id), Outcome::Cancelled, true, LoadReport::default());
-        }
     }
 
     /// Cancels the attempt of a call that is about to be removed.
--- a/crates/lilacpitch-node/src/core/health_checks.rs
+++ b/crates/lilacpitch-node/src/core/health_checks.rs
@@ -5,7 +5,7 @@
 //! connection, goes unnoticed. The settings may forbid probes, so health is derived from new connections and
 //! from answers to set-ups.
 
-use super::records::{Attempt, AttemptState, Server};
+use super::records::{Attempt, AttemptState, Server, UpstreamConnection};
 use super::upstreams::MAX_UPSTREAMS_PER_SERVER;
 use super::{Effect, NodeCore, UpstreamId};
 use lilacpitch::interface::{Nanos, ServerId};
@@ -70,7 +70,7 @@
             return;
         }
         if server.upstreams.len() >= MAX_UPSTREAMS_PER_SERVER {
-            let is_idle = |id: &&UpstreamId| self.upstreams.get(id).is_some_and(|up| up.setups.is_empty());
+            let is_idle = |id: &&UpstreamId| self.upstreams.get(id).is_some_and(UpstreamConnection::is_idle);
             let idle = server.upstreams.iter().filter(is_idle).copied();
             let call_count = |idle: &UpstreamId| self.count_calls(server, |upstream| upstream == *idle);
             let Some(closed) = idle.min_by_key(call_count) else { return };
@@ -98,9 +98,7 @@
 
     /// Whether a responsive connection to a server is up.
     fn has_responsive_upstream(&self, server: &Server) -> bool {
-        let is_responsive =
-            |id: &UpstreamId| self.upstreams.get(id).is_some_and(|up| up.is_up && !up.is_unresponsive);
-        server.upstreams.iter().any(is_responsive)
+        server.upstreams.iter().any(|id| self.is_upstream_usable(*id))
     }
 
     /// Closes unresponsive connections without set-ups, if there is a responsive one or no other may be
@@ -110,9 +108,8 @@
         if !self.has_responsive_upstream(server) && server.upstreams.len() < MAX_UPSTREAMS_PER_SERVER {
             return;
         }
-        let is_closed = |id: &&UpstreamId| {
-            self.upstreams.get(id).is_some_and(|up| up.is_unresponsive && up.setups.is_empty())
-        };
+        let is_closed =
+            |id: &&UpstreamId| self.upstreams.get(id).is_some_and(|up| up.is_unresponsive && up.is_idle());
         let closed: Vec<_> = server.upstreams.iter().filter(is_closed).copied().collect();
         for upstream in closed {
             self.servers.entry(id).and_modify(|server| server.had_silent_upstream = true);
--- a/crates/lilacpitch-node/src/core/mod.rs
+++ b/crates/lilacpitch-node/src/core/mod.rs
@@ -8,6 +8,7 @@
 //! caller of each established call that its server ends or that is lost with its server.
 
 mod active_calls;
+mod attempt_ends;
 mod attempt_trace;
 mod attempts;
 mod call_memory;
@@ -39,7 +40,7 @@
 use lilacpitch_sip::Message;
 use records::{Call, Caller, Server, UpstreamConnection};
 use releases::WaitingReleases;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use timers::Timer;
 
@@ -83,6 +84,14 @@
         /// The message's number on it, from 0.
         message: u64,
     },
+    /// The message that ends a cancelled set-up is completely written, or is not needed because the set-up was
+    /// not written.
+    EndWritten {
+        /// The connection.
+        upstream: UpstreamId,
+        /// The message's number on it.
+        message: u64,
+    },
     /// The coordinator has reported servers of the endpoint list.
     EndpointsUpdated(Endpoints),
     /// File descriptors are short: the caller that has been idle for the longest time is to be evicted.
@@ -123,7 +132,8 @@
         not_after_ns: Option<Nanos>,
     },
     /// Cancel a set-up. If it is unwritten, it is removed from the queue; if it is partly written, the
-    /// connection is closed; if it is completely written, `bytes` are sent as message `stop_message`.
+    /// connection is closed; if it is completely written, `bytes` are sent as message `stop_message`. Followed
+    /// by [`Input::EndWritten`], or by [`Input::UpstreamClosed`].
     CancelSetup {
         /// The connection.
         upstream: UpstreamId,
@@ -133,6 +143,8 @@
         stop_message: u64,
         /// The message that cancels it at the server.
         bytes: Vec<u8>,
+        /// The connection is closed if this message is not completely written by then.
+        write_by_ns: Nanos,
     },
     /// Close a connection to a server after writing its queued messages, except set-ups. No
     /// [`Input::UpstreamClosed`] follows.
@@ -164,6 +176,8 @@
     next_upstream: UpstreamId,
     waiting_releases: WaitingReleases,
     ended_calls: EndedCalls,
+    /// Wire ids of attempts whose ends are not written.
+    ending_wire_ids: BTreeSet<u64>,
     /// Wire ids of ended calls that a server has had, and until when their ends may still arrive from it.
     retired_wire_ids: BTreeMap<u64, Nanos>,
     /// Events that the controller has yet to handle, among them those caused by its own actions.
@@ -207,6 +221,7 @@
             next_upstream: 1,
             waiting_releases: WaitingReleases::default(),
             ended_calls: EndedCalls::default(),
+            ending_wire_ids: BTreeSet::new(),
             retired_wire_ids: BTreeMap::new(),
             pending_events: VecDeque::new(),
             actions: Vec::new(),
@@ -253,6 +268,7 @@
             Input::MessageDropped { upstream, message } => {
                 self.handle_message_dropped(upstream, message, effects);
             }
+            Input::EndWritten { upstream, message } => self.handle_end_written(upstream, message),
             Input::EndpointsUpdated(endpoints) => self.update_endpoints(&endpoints, effects),
             Input::EvictIdleCaller => self.evict_idle_caller(effects),
             Input::EvictionDeclined(caller) => self.handle_eviction_declined(caller),
@@ -302,6 +318,8 @@
             ("timers", self.timers.len()),
             ("waiting releases", self.waiting_releases.len()),
             ("ended calls", self.ended_calls.len()),
+            ("unwritten ends", self.upstreams.values().map(|upstream| upstream.unwritten_ends.len()).sum()),
+            ("ids of unwritten ends", self.ending_wire_ids.len()),
             ("retired wire ids", self.retired_wire_ids.len()),
             ("releases to servers", self.upstreams.values().map(|upstream| upstream.releases.len()).sum()),
         ];
--- a/crates/lilacpitch-node/src/core/records.rs
+++ b/crates/lilacpitch-node/src/core/records.rs
@@ -1,7 +1,8 @@
 //! The records in the core's tables: callers, calls, attempts, servers and upstream connections.
 
+use super::attempt_ends::UnwrittenEnd;
 use super::{CallerId, UpstreamId};
-use lilacpitch::interface::{CallId, Endpoint, Nanos, ServerId};
+use lilacpitch::interface::{CallId, Endpoint, Nanos, Outcome, ServerId};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
@@ -67,6 +68,8 @@
     /// Connections that its attempts have used. The next attempt prefers another one, so that a late answer
     /// to an earlier attempt is not taken for its own.
     pub used_upstreams: Vec<UpstreamId>,
+    /// By when its caller must have the final response.
+    pub answer_by_ns: Nanos,
     /// When it was established; 0 before.
     pub established_ns: Nanos,
     /// Memory charged for it, in bytes.
@@ -112,6 +115,15 @@
     Queued(UpstreamId),
     /// The set-up was given to this connection as the message of this number, and is not answered.
     InFlight(UpstreamId, u64),
+    /// The set-up is cancelled, and the message that ends it at the server is not known to be written.
+    Ending {
+        /// The connection.
+        upstream: UpstreamId,
+        /// The message's number on it.
+        stop_message: u64,
+        /// How the attempt ends.
+        outcome: Outcome,
+    },
     /// The call was established on this connection, which it may outlive.
     Established(UpstreamId),
 }
@@ -156,10 +168,12 @@
     pub last_answer_ns: Nanos,
     /// Number of the next message given to it.
     pub next_message: u64,
-    /// Calls whose set-up is queued or in flight on it.
+    /// Calls whose set-up is queued, in flight or ending on it.
     pub setups: BTreeSet<CallId>,
     /// Wire ids of set-ups that were cancelled on it, each with the time until which it is kept.
     pub cancelled: BTreeMap<u64, Nanos>,
+    /// Ends of cancelled set-ups that are not known to be written, by the numbers of their messages.
+    pub unwritten_ends: BTreeMap<u64, UnwrittenEnd>,
     /// Releases that wait for it to be established.
     pub releases: Vec<PendingRelease>,
 }
@@ -175,6 +189,7 @@
             next_message: 0,
             setups: BTreeSet::new(),
             cancelled: BTreeMap::new(),
+            unwritten_ends: BTreeMap::new(),
             releases: Vec::new(),
         }
     }
@@ -184,6 +199,11 @@
 const MAX_CANCELLED_SETUPS: usize = 256;
 
 impl UpstreamConnection {
+    /// Whether no set-up is queued, in flight or ending on it.
+    pub(super) fn is_idle(&self) -> bool {
+        self.setups.is_empty() && self.unwritten_ends.is_empty()
+    }
+
     /// Keeps a cancelled set-up, so that its late answer is recognized until `until_ns`.
     pub(super) fn record_cancelled(&mut self, wire_id: u64, until_ns: Nanos) {
         if self.cancelled.len() >= MAX_CANCELLED_SETUPS {
--- a/crates/lilacpitch-node/src/core/server_messages.rs
+++ b/crates/lilacpitch-node/src/core/server_messages.rs
@@ -118,7 +118,7 @@
         // A release carries only the call's id, so none is sent if a later attempt of the call is at the same
         // server.
         let current = self.calls_by_wire_id.get(&wire_id).and_then(|call| self.calls.get(call)?.attempt);
-        if is_cancelled && current.is_none_or(|attempt| attempt.server != server) {
+        if is_cancelled && current.is_none_or(|attempt| attempt.server != server || attempt.is_ending()) {
             self.transmit(id, signalling::encode_stop(wire_id, CAUSE_NORMAL), None, effects);
         }
     }
--- a/crates/lilacpitch-node/src/core/upstreams.rs
+++ b/crates/lilacpitch-node/src/core/upstreams.rs
@@ -54,6 +54,11 @@
         self.upstreams.get(&id).is_some_and(|upstream| upstream.is_up)
     }
 
+    /// Whether a connection is up and not known to be unresponsive.
+    pub(super) fn is_upstream_usable(&self, id: UpstreamId) -> bool {
+        self.upstreams.get(&id).is_some_and(|upstream| upstream.is_up && !upstream.is_unresponsive)
+    }
+
     pub(super) fn open_upstream(
         &mut self,
         server: ServerId,
@@ -70,6 +75,7 @@
 
     pub(super) fn close_upstream(&mut self, id: UpstreamId, effects: &mut Vec<Effect>) {
         let Some(upstream) = self.upstreams.remove(&id) else { return };
+        self.settle_ends(&upstream);
         self.servers
             .entry(upstream.server)
             .and_modify(|server| server.upstreams.retain(|other| *other != id));
@@ -121,6 +127,7 @@
         effects: &mut Vec<Effect>,
     ) {
         let Some(upstream) = self.upstreams.remove(&id) else { return };
+        self.settle_ends(&upstream);
         let now = self.now;
         let Some(server) = self.servers.get_mut(&upstream.server) else { return };
         server.upstreams.retain(|other| *other != id);
--- a/crates/lilacpitch-node/src/net/connections.rs
+++ b/crates/lilacpitch-node/src/net/connections.rs
@@ -54,7 +54,7 @@
     pub(super) fn push_response(&mut self, bytes: Vec<u8>) {
         let number = self.next_message;
         self.next_message += 1;
-        self.connection.outbox.push(OutgoingMessage { number, bytes, not_after_ns: None });
+        self.connection.outbox.push(OutgoingMessage { number, bytes, not_after_ns: None, write_by_ns: None });
     }
 
     /// Queues a release, and has the connection report when it is written.
@@ -127,7 +127,7 @@
         let on_event = async |event| match event {
             ConnectionEvent::Message(message) => self.send(Input::CallerMessage(caller, message)).await,
             ConnectionEvent::Drained => self.send(Input::CallerDrained(caller)).await,
-            ConnectionEvent::MessageDropped(_) => true,
+            ConnectionEvent::MessageDropped(_) | ConnectionEvent::MessageWritten(_) => true,
         };
         let (end, closing) = connection.run(|| _ = self.disconnects.send(caller), on_event).await;
         tracing::debug!(caller, reason = %end.reason, "caller connection closed");
@@ -183,6 +183,7 @@
             self.send(match event {
                 ConnectionEvent::Message(message) => Input::UpstreamMessage(upstream, message),
                 ConnectionEvent::MessageDropped(message) => Input::MessageDropped { upstream, message },
+                ConnectionEvent::MessageWritten(message) => Input::EndWritten { upstream, message },
                 ConnectionEvent::Drained => return true,
             })
             .await
--- a/crates/lilacpitch-node/src/net/driver.rs
+++ b/crates/lilacpitch-node/src/net/driver.rs
@@ -8,7 +8,7 @@
 use crate::core::{CallerId, Effect, Input, NodeCore, UpstreamId};
 use lilacpitch::settings::Site;
 use lilacpitch_net::{CancelOutcome, Clock, CloseMode, DrainQuota, OutgoingMessage, QueuedBytes};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -43,8 +43,8 @@
     disconnects: mpsc::UnboundedReceiver<CallerId>,
     /// Callers whose eviction is in progress, which a message from them cancels.
     evicting: BTreeSet<CallerId>,
-    /// Callers that could not be evicted, which the core is yet to be told.
-    declined_evictions: Vec<CallerId>,
+    /// Results of effects, which the core is yet to be told.
+    results: VecDeque<Input>,
     max_callers: usize,
     /// Most bytes that may wait for all callers together.
     max_caller_output: usize,
@@ -102,7 +102,7 @@
             context,
             disconnects,
             evicting: BTreeSet::new(),
-            declined_evictions: Vec::new(),
+            results: VecDeque::new(),
             max_callers: budget.callers,
             max_caller_output: budget.caller_output_bytes,
             // The queued copies of set-ups take up half of what is counted for their calls.
@@ -230,12 +230,11 @@
         }
     }
 
-    /// Feeds one input to the core and carries out the effects, and reports the evictions among them that were
-    /// declined.
+    /// Feeds one input to the core and carries out the effects, and feeds their immediate results.
     fn feed(&mut self, input: Input) {
         self.feed_one(input);
-        while let Some(caller) = self.declined_evictions.pop() {
-            self.feed_one(Input::EvictionDeclined(caller));
+        while let Some(result) = self.results.pop_front() {
+            self.feed_one(result);
         }
     }
 
@@ -274,10 +273,14 @@
             Effect::EvictCaller(caller) => self.evict_caller(caller),
             Effect::CloseCaller(caller) => self.close_caller(caller),
             Effect::ToServer { upstream, message, bytes, not_after_ns } => {
-                self.send_to_server(upstream, OutgoingMessage { number: message, bytes, not_after_ns });
+                self.send_to_server(
+                    upstream,
+                    OutgoingMessage { number: message, bytes, not_after_ns, write_by_ns: None },
+                );
             }
-            Effect::CancelSetup { upstream, message, stop_message, bytes } => {
-                let stop = OutgoingMessage { number: stop_message, bytes, not_after_ns: None };
+            Effect::CancelSetup { upstream, message, stop_message, bytes, write_by_ns } => {
+                let (number, write_by_ns) = (stop_message, Some(write_by_ns));
+                let stop = OutgoingMessage { number, bytes, not_after_ns: None, write_by_ns };
                 self.cancel_setup(upstream, message, stop);
             }
             Effect::Connect(upstream, address) => {
@@ -321,7 +324,7 @@
             connection.outbox.close(CloseMode::IfIdle);
             self.evicting.insert(caller);
         } else {
-            self.declined_evictions.push(caller);
+            self.results.push_back(Input::EvictionDeclined(caller));
         }
     }
 
@@ -347,10 +350,12 @@
 
     /// Cancels a set-up: removes it from the queue, closes the connection if it is partly written, or else
     /// sends `stop` after it.
-    fn cancel_setup(&self, upstream: UpstreamId, message: u64, stop: OutgoingMessage) {
+    fn cancel_setup(&mut self, upstream: UpstreamId, message: u64, stop: OutgoingMessage) {
         let Some(connection) = self.upstreams.get(&upstream) else { return };
         match connection.outbox.cancel(message) {
-            CancelOutcome::Removed => {}
+            CancelOutcome::Removed => {
+                self.results.push_back(Input::EndWritten { upstream, message: stop.number });
+            }
             CancelOutcome::PartlyWritten => connection.outbox.close(CloseMode::Immediately),
             CancelOutcome::AlreadyWritten => connection.outbox.push(stop),
         }
--- a/crates/lilacpitch-node/tests/ends.rs
+++ b/crates/lilacpitch-node/tests/ends.rs
@@ -358,3 +358,131 @@
     node.feed(Input::Timeout);
     assert_eq!(kept(&node), 0);
 }
+
+/// A node with two servers, whose only call was given up by the controller at the first one.
+struct GivenUpAttempt {
+    node: OneServerNode,
+    upstream: UpstreamId,
+    stop_message: u64,
+    given_up_ns: u64,
+}
+
+impl GivenUpAttempt {
+    fn new() -> GivenUpAttempt {
+        let mut site = config().site;
+        // Long enough for another attempt.
+        site.settings.classes[0].latency_objective_ns = 3_000 * MS;
+        let mut node = OneServerNode { core: NodeCore::new(site, 4, START_NS, 3), now: START_NS };
+        let targets = (0..2).map(|number| target(number, 1000 + number, "in_service", 0));
+        for endpoints in endpoints(1, true, targets.collect()) {
+            node.feed(Input::EndpointsUpdated(endpoints));
+        }
+        node.connect_caller(1);
+        for effect in node.request(1, "INVITE", 3) {
+            if let Effect::Connect(upstream, _) = effect {
+                node.feed(Input::UpstreamConnected(upstream));
+            }
+        }
+        let sent_ns = node.now;
+        loop {
+            for effect in node.advance_to_next_timer() {
+                if let Effect::CancelSetup { upstream, stop_message, write_by_ns, .. } = effect {
+                    assert_eq!(write_by_ns, node.now + 300 * MS);
+                    let given_up_ns = node.now;
+                    return GivenUpAttempt { node, upstream, stop_message, given_up_ns };
+                }
+            }
+            assert!(node.now < sent_ns + 2_000 * MS, "not given up");
+        }
+    }
+
+    /// Advances the time, with all connections established at once, until a set-up or an answer to the caller.
+    fn wait_for_attempt_or_answer(&mut self) -> Option<Effect> {
+        while self.node.now < self.given_up_ns + 4_000 * MS {
+            let mut effects = self.node.advance_to_next_timer();
+            while let Some(effect) = effects.pop() {
+                match effect {
+                    Effect::Connect(upstream, _) => {
+                        effects.extend(self.node.feed(Input::UpstreamConnected(upstream)));
+                    }
+                    Effect::ToServer { .. } | Effect::ToCaller(..) => return Some(effect),
+                    _ => {}
+                }
+            }
+        }
+        None
+    }
+}
+
+impl OneServerNode {
+    /// Advances the time to the next timer.
+    fn advance_to_next_timer(&mut self) -> Vec<Effect> {
+        self.now = self.core.next_timeout().expect("no timer").max(self.now);
+        self.feed(Input::Timeout)
+    }
+}
+
+/// Guards against two attempts of one call that are out at once: the release time was counted from the decision to
+/// give one up, before the message that ends it was written.
+#[test]
+fn release_time_begins_when_the_end_of_an_attempt_is_written_or_its_connection_has_ended() {
+    const UNWRITTEN_NS: u64 = 120 * MS;
+    for has_connection_ended in [false, true] {
+        let mut call = GivenUpAttempt::new();
+        call.node.now += UNWRITTEN_NS;
+        let (upstream, message) = (call.upstream, call.stop_message);
+        call.node.feed(if has_connection_ended {
+            Input::UpstreamClosed { upstream, written: 1, is_refused: false }
+        } else {
+            Input::EndWritten { upstream, message }
+        });
+        let next = call.wait_for_attempt_or_answer();
+        assert!(next.as_ref().is_some_and(|effect| upstream_of_setup(effect).is_some()), "{next:?}");
+        let waited_ns = call.node.now - call.given_up_ns;
+        assert!(waited_ns >= UNWRITTEN_NS + 300 * MS, "sent {waited_ns} ns after it was given up");
+    }
+}
+
+/// Guards against a caller that gets no answer in time, because the end of its attempt is not written.
+#[test]
+fn call_is_answered_in_time_without_another_attempt_while_an_end_is_unwritten() {
+    let mut call = GivenUpAttempt::new();
+    let answer = call.wait_for_attempt_or_answer();
+    assert!(matches!(answer, Some(Effect::ToCaller(1, _))), "{answer:?}");
+    let waited_ns = call.node.now - START_NS;
+    // The caller waits for 3 s.
+    assert!(waited_ns < 3_000 * MS, "answered after {waited_ns} ns");
+}
+
+/// Guards against two set-ups with one id that are out at once, where the caller of the first one has cancelled it or
+/// left.
+#[test]
+fn id_is_in_use_until_the_end_of_a_setup_that_its_caller_gave_up_is_written() {
+    for leaves in [false, true] {
+        let mut node = OneServerNode::new();
+        (1..=2).for_each(|caller| node.connect_caller(caller));
+        node.establish(1, 9);
+        node.request(1, "INVITE", 3);
+        let effects = match leaves {
+            false => node.request(1, "CANCEL", 3),
+            true => node.feed(Input::CallerDisconnected(1)),
+        };
+        let end = effects.iter().find_map(|effect| match effect {
+            Effect::CancelSetup { upstream, stop_message, .. } => Some((*upstream, *stop_message)),
+            _ => None,
+        });
+        let (upstream, message) = end.expect("not cancelled");
+        let is_in_use = |node: &mut OneServerNode| {
+            let effects = node.request(2, "INVITE", 3);
+            let is_rejection = |effect: &Effect| matches!(effect, Effect::ToCaller(2, bytes) if bytes.starts_with(b"SIP/2.0 482 "));
+            effects.iter().any(is_rejection)
+        };
+        node.now += 5_000 * MS;
+        assert!(is_in_use(&mut node), "in use no longer, though its end is not written");
+        node.feed(Input::EndWritten { upstream, message });
+        node.now += 290 * MS;
+        assert!(is_in_use(&mut node), "in use no longer before the release time");
+        node.now += 20 * MS;
+        assert!(!is_in_use(&mut node), "still in use");
+    }
+}
--- a/crates/lilacpitch-node/tests/orders.rs
+++ b/crates/lilacpitch-node/tests/orders.rs
@@ -1,6 +1,6 @@
 //! Invariants of the core under random sequences of events: a call gets at most one final response, and has
-//! it before the kill if the node is stopped; a call never has two attempts in flight; no set-up is sent for
-//! a call that is over; each attempt is completed once. In the end the core and the controller retain nothing
+//! it before the kill if the node is stopped; a call never has two attempts in flight, nor one within the release
+//! time after the end of the other was written; no set-up is sent for a call that is over; each attempt is completed once. In the end the core and the controller retain nothing
 //! but the controller's servers, timers, and releases that no caller was connected to receive.
 
 mod common;
@@ -13,6 +13,9 @@
 use serde_json::{json, Value};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// The release time of the settings, in nanoseconds.
+const RELEASE_NS: u64 = 300 * MS;
+
 /// A set-up that a caller has sent, and what the node has sent for it.
 #[derive(Debug, Default, Clone)]
 struct SentSetup {
@@ -31,6 +34,8 @@
     is_written: bool,
     /// The call, if the message is a set-up.
     setup_call: Option<u64>,
+    /// The call, if the message ends its cancelled set-up.
+    ended_call: Option<u64>,
 }
 
 /// A connection to a server.
@@ -70,6 +75,10 @@
     upstreams: BTreeMap<UpstreamId, Upstream>,
     /// Connections of the attempts in flight, by call.
     in_flight: BTreeMap<u64, UpstreamId>,
+    /// Calls with an attempt that was cancelled and whose end is not written.
+    ending: BTreeSet<u64>,
+    /// When the end of a call's last cancelled attempt was written.
+    ended_ns: BTreeMap<u64, u64>,
     servers: Vec<ListedServer>,
     evicting: Vec<CallerId>,
     /// Callers that were sent releases since their connections were last empty.
@@ -120,12 +129,18 @@
             self.upstreams.get_mut(&upstream).expect("message for a connection that does not exist");
         assert!(connection.is_up, "message for a connection that is not up");
         let setup_call = is_setup.then_some(call);
-        connection.messages.push(GivenMessage { number, is_written: false, setup_call });
+        connection.messages.push(GivenMessage { number, is_written: false, setup_call, ended_call: None });
         if is_setup {
             let setup = &self.calls[&call];
             assert!(!setup.is_over, "set-up sent for a call that is over: {call} {setup:?}");
             let previous = self.in_flight.insert(call, upstream);
             assert_eq!(previous, None, "two attempts of call {call} are in flight");
+            assert!(
+                !self.ending.contains(&call),
+                "sent while the end of another attempt of {call} is unwritten"
+            );
+            let released_ns = self.ended_ns.get(&call).map_or(0, |ended_ns| ended_ns + RELEASE_NS);
+            assert!(self.now >= released_ns, "call {call} is sent before its release time");
         }
     }
 
@@ -137,14 +152,25 @@
             .position(|message| message.number == number)
             .expect("cancelled message was never sent");
         let GivenMessage { is_written, setup_call, .. } = messages[index];
-        self.in_flight.remove(&setup_call.expect("cancelled message is not a set-up"));
+        let call = setup_call.expect("cancelled message is not a set-up");
+        self.in_flight.remove(&call);
         if is_written {
-            messages.push(GivenMessage { number: stop_number, is_written: false, setup_call: None });
+            let (number, ended_call) = (stop_number, Some(call));
+            messages.push(GivenMessage { number, is_written: false, setup_call: None, ended_call });
+            self.ending.insert(call);
         } else {
             messages.remove(index);
+            self.ended_ns.insert(call, self.now);
+            self.feed(Input::EndWritten { upstream, message: stop_number });
         }
     }
 
+    /// Records that the end of a call's attempt is written, or that its connection has ended.
+    fn record_end(&mut self, call: u64) {
+        self.ending.remove(&call);
+        self.ended_ns.insert(call, self.now);
+    }
+
     fn check_caller_message(&mut self, caller: CallerId, text: &str) {
         let field = |name: &str| text.lines().find_map(|line| line.strip_prefix(name)).unwrap_or("");
         let call = u64::from_str_radix(field("Call-ID: "), 16).unwrap();
@@ -204,6 +230,8 @@
             calls: BTreeMap::new(),
             upstreams: BTreeMap::new(),
             in_flight: BTreeMap::new(),
+            ending: BTreeSet::new(),
+            ended_ns: BTreeMap::new(),
             servers: vec![server(0), server(1), server(2)],
             evicting: Vec::new(),
             unwritten_releases: BTreeSet::new(),
@@ -231,7 +259,10 @@
     }
 
     fn remove_upstream(&mut self, upstream: UpstreamId) {
-        self.upstreams.remove(&upstream);
+        let removed = self.upstreams.remove(&upstream);
+        let messages = removed.into_iter().flat_map(|upstream| upstream.messages);
+        let unwritten = messages.filter(|message| !message.is_written);
+        unwritten.filter_map(|message| message.ended_call).for_each(|call| self.record_end(call));
         self.in_flight.retain(|_, used| *used != upstream);
     }
 
@@ -292,8 +323,17 @@
     }
 
     fn write_all_messages(&mut self) {
-        let messages = self.upstreams.values_mut().flat_map(|upstream| &mut upstream.messages);
-        messages.for_each(|message| message.is_written = true);
+        let mut ends = Vec::new();
+        for (id, upstream) in &mut self.upstreams {
+            for message in upstream.messages.iter_mut().filter(|message| !message.is_written) {
+                message.is_written = true;
+                ends.extend(message.ended_call.map(|call| (call, *id, message.number)));
+            }
+        }
+        for (call, upstream, message) in ends {
+            self.record_end(call);
+            self.feed(Input::EndWritten { upstream, message });
+        }
         for caller in std::mem::take(&mut self.unwritten_releases) {
             self.feed(Input::CallerDrained(caller));
         }
--- a/crates/lilacpitch-node/tests/soak.rs
+++ b/crates/lilacpitch-node/tests/soak.rs
@@ -31,8 +31,13 @@
                 self.feed(Input::UpstreamConnected(upstream));
             }
             Effect::Disconnect(upstream) => self.upstreams.retain(|other| *other != upstream),
-            // A cancelled set-up counts as written, so its server gets the stop.
-            Effect::ToServer { upstream, bytes, .. } | Effect::CancelSetup { upstream, bytes, .. } => {
+            // A cancelled set-up counts as written, so its server gets the stop, which is written at once.
+            Effect::CancelSetup { upstream, stop_message, bytes, .. } => {
+                let line: Value = serde_json::from_slice(&bytes).unwrap();
+                self.in_flight.retain(|(_, call)| line["uid"] != call.as_str());
+                self.feed(Input::EndWritten { upstream, message: stop_message });
+            }
+            Effect::ToServer { upstream, bytes, .. } => {
                 let line: Value = serde_json::from_slice(&bytes).unwrap();
                 let call = line["uid"].as_str().unwrap().to_string();
                 match line["kind"].as_str() {
