Front node: set-ups that callers give up show a useless connection, too

Cause: abandon_call left no mark on the connection; only time-outs and call-offs did, and light traffic used the oldest connection.

Change: set-ups that callers give up count against their connection once they have waited for half a resend interval since the last answer, together if need be, so that a caller that cancels at once makes nothing close. Then the existing way is taken: the connection is closed if another one is up, and a new one is offered to the server. A hang-up avoids a connection that is known to be useless.

--- a/crates/lilacpitch-edge/tests/node/active_calls.rs
+++ b/crates/lilacpitch-edge/tests/node/active_calls.rs
@@ -200,3 +200,72 @@
         assert!(std::time::Instant::now() < until, "not released");
     }
 }
+
+/// Guards against calls that are never released, because only set-ups that the node gave up showed that a connection
+/// is of no use: callers gave theirs up first.
+#[test]
+fn call_on_a_connection_whose_setups_callers_gave_up_is_released() {
+    for leaves in [false, true] {
+        let (server, node, mut caller) = Node::with_one_server();
+        let silent = establish_on_second_connection(&server, &mut caller, 1);
+        // A set-up on the first connection, which is answered, beside one on the silent one.
+        caller.invite(&id(2), 0, 3_000);
+        let beside = server.next("launch");
+        let mut other = node.caller();
+        other.invite(&id(3), 0, 3_000);
+        assert_eq!(server.next("launch").connection, silent);
+        std::thread::sleep(ms(300));
+        match leaves {
+            true => other.close(),
+            false => other.request("CANCEL", &id(3)),
+        }
+        server.answer(&beside, "there");
+        assert_eq!(caller.next().unwrap().status(), Some(200));
+        std::thread::sleep(ms(600));
+        // What the server sends on the silent connection does not arrive. It sends the release on the next
+        // connection as well, within the 8 s of the protocol page.
+        let known = server.connection_count();
+        let until = std::time::Instant::now() + ms(8_000);
+        for call in 300.. {
+            if server.connection_count() > known {
+                break;
+            }
+            assert!(std::time::Instant::now() < until, "no new connection");
+            // The usual traffic, one set-up at a time, so that the server is never quiet.
+            server.establish(&mut caller, call);
+            std::thread::sleep(ms(100));
+        }
+        server.stop(known, &id(1), 16, json!({}));
+        let released = caller.next().unwrap();
+        assert!(released.is_bye() && released.call() == id(1), "{released:?}");
+    }
+}
+
+/// Establishes a call on the second connection to a server, and returns that connection.
+fn establish_on_second_connection(server: &Server, caller: &mut Caller, call: u64) -> usize {
+    // The module sends a server that it doesn't know one set-up at a time.
+    for call in 5_000..5_100 {
+        let setup = server.establish(caller, call);
+        server.stop(setup.connection, &id(call), 16, json!({}));
+        assert!(caller.next().unwrap().is_bye());
+    }
+    // Two set-ups at a time make the node open another connection.
+    for number in 0..20 {
+        let setups = [id(900 + 2 * number), id(901 + 2 * number)].map(|call| {
+            caller.invite(&call, 0, 3_000);
+            server.next("launch")
+        });
+        setups.iter().for_each(|setup| server.answer(setup, "there"));
+        setups.iter().for_each(|_| assert_eq!(caller.next().unwrap().status(), Some(200)));
+        if setups[1].connection != setups[0].connection {
+            break;
+        }
+    }
+    caller.invite(&id(990), 0, 3_000);
+    let beside = server.next("launch");
+    let established = server.establish(caller, call);
+    server.answer(&beside, "there");
+    assert_eq!(caller.next().unwrap().status(), Some(200));
+    assert_ne!(established.connection, beside.connection);
+    established.connection
+}
--- a/crates/lilacpitch-node/src/core/calls.rs
+++ b/crates/lilacpitch-node/src/core/calls.rs
@@ -176,6 +176,9 @@
     fn cancel_open_attempt(&mut self, id: CallId, effects: &mut Vec<Effect>) {
         self.cancel_at_server(id, effects);
         if let Some(attempt) = self.remove_attempt(id) {
+            if let AttemptState::InFlight(upstream, _) = attempt.state {
+                self.record_abandoned(upstream, attempt.sent_ns, effects);
+            }
             self.record_outcome(attempt.id(id), Outcome::Cancelled, true, LoadReport::default());
         }
     }
--- a/crates/lilacpitch-node/src/core/health_checks.rs
+++ b/crates/lilacpitch-node/src/core/health_checks.rs
@@ -16,6 +16,9 @@
 /// it sends them on the next connection as well. The platform's protocol page requires a release within 8 s of
 /// an end.
 const SILENT_RECONNECT_NS: Nanos = 2_000_000_000;
+/// Set-ups that were given up by their callers count as unanswered once they have waited for one in this many parts
+/// of the resend interval.
+const ABANDONED_WAIT_FRACTION: Nanos = 2;
 /// A server to which no connection could be made for this long is considered gone, unless it has sent
 /// something recently (see [`is_unreachable`]). The platform's protocol page requires that the callers of its
 /// calls get their releases within 8 s.
@@ -79,6 +82,21 @@
         self.open_upstream(id, effects);
     }
 
+    /// Records that a caller gave up a set-up that was sent on a connection at `sent_ns`. One that soon gives up
+    /// shows little, so the set-ups count as unanswered once they have waited for long enough together.
+    pub(super) fn record_abandoned(&mut self, id: UpstreamId, sent_ns: Nanos, effects: &mut Vec<Effect>) {
+        let now = self.now;
+        let least_wait_ns = self.controller.resend_interval_ns() / ABANDONED_WAIT_FRACTION;
+        let Some(upstream) = self.upstreams.get_mut(&id).filter(|up| up.last_answer_ns < sent_ns) else {
+            return;
+        };
+        upstream.abandoned_wait_ns += now - sent_ns.max(upstream.abandoned_until_ns);
+        upstream.abandoned_until_ns = now;
+        if upstream.abandoned_wait_ns >= least_wait_ns {
+            self.record_unanswered(id, sent_ns, effects);
+        }
+    }
+
     /// Records that a set-up sent on a connection at `sent_ns` got no answer. If nothing was answered there
     /// since then, the connection counts as unresponsive, and the next set-ups use others.
     pub(super) fn record_unanswered(&mut self, id: UpstreamId, sent_ns: Nanos, effects: &mut Vec<Effect>) {
--- a/crates/lilacpitch-node/src/core/records.rs
+++ b/crates/lilacpitch-node/src/core/records.rs
@@ -166,6 +166,11 @@
     pub is_unresponsive: bool,
     /// When an answer, a rejection or the end of a call last arrived on it.
     pub last_answer_ns: Nanos,
+    /// For how long set-ups that their callers gave up have waited here since the last answer; what passed for
+    /// several at once counts once.
+    pub abandoned_wait_ns: Nanos,
+    /// When the last of them was given up; 0 before.
+    pub abandoned_until_ns: Nanos,
     /// Number of the next message given to it.
     pub next_message: u64,
     /// Calls whose set-up is queued, in flight or ending on it.
@@ -186,6 +191,8 @@
             is_up: false,
             is_unresponsive: false,
             last_answer_ns: 0,
+            abandoned_wait_ns: 0,
+            abandoned_until_ns: 0,
             next_message: 0,
             setups: BTreeSet::new(),
             cancelled: BTreeMap::new(),
--- a/crates/lilacpitch-node/src/core/server_messages.rs
+++ b/crates/lilacpitch-node/src/core/server_messages.rs
@@ -31,6 +31,7 @@
         let server = upstream.server;
         if matches!(message, ServerMessage::Running { .. } | ServerMessage::Stop { .. }) {
             (upstream.is_unresponsive, upstream.last_answer_ns) = (false, self.now);
+            upstream.abandoned_wait_ns = 0;
         }
         match message {
             ServerMessage::Running { uid, body } => match self.call_in_flight(uid, id) {
--- a/crates/lilacpitch-node/tests/ends.rs
+++ b/crates/lilacpitch-node/tests/ends.rs
@@ -486,3 +486,31 @@
         assert!(!is_in_use(&mut node), "still in use");
     }
 }
+
+/// Guards against calls that are never released, because nothing showed that their connection is of no use but set-ups
+/// that their callers gave up.
+#[test]
+fn connection_is_unresponsive_once_abandoned_setups_have_waited_for_half_a_resend_interval() {
+    let is_found_after = |wait_ns: u64, setups: u64| {
+        let mut node = OneServerNode::new();
+        node.connect_caller(1);
+        node.establish(1, 9);
+        for call in 10..10 + setups {
+            node.now += 1;
+            let effects = node.request(1, "INVITE", call);
+            for effect in &effects {
+                if let Effect::Connect(upstream, _) = effect {
+                    node.feed(Input::UpstreamConnected(*upstream));
+                }
+            }
+            node.now += wait_ns;
+            node.request(1, "CANCEL", call);
+        }
+        node.core.counters().upstreams_unresponsive > 0
+    };
+    assert!(is_found_after(250 * MS, 1));
+    assert!(is_found_after(60 * MS, 20), "short waits don't count together");
+    // A caller that soon gives up shows nothing of the connection, however often it does.
+    assert!(!is_found_after(150 * MS, 1));
+    assert!(!is_found_after(1_000, 500));
+}
--- a/crates/lilacpitch/src/controller.rs
+++ b/crates/lilacpitch/src/controller.rs
@@ -216,6 +216,12 @@
         self.set_timer(actions);
     }
 
+    /// Returns the interval after which the network resends an unanswered set-up, or else the share of the shortest
+    /// latency objective that replaces it, in nanoseconds.
+    pub fn resend_interval_ns(&self) -> Nanos {
+        self.resend_ns
+    }
+
     /// Advances the clock, records a stall if the timer fired late, and subscribes to the endpoint list at
     /// the first event and when a new subscription is due.
     fn advance_clock(&mut self, now: Nanos, actions: &mut Vec<Action>) {
