WebSocket edge: the release of an attempt begins when its end is written

Two attempts of a call could be out.

Change: the connection reports a cancel once all bytes of it are written. Until then, or until the connection is lost, the attempt is not completed; if the caller's time is up before, the call is answered and gets no further attempt. The connection is not closed for it, since the calls of an edge end with their connection. The simulated network of the testbed reports cancels as written at once.

--- a/crates/lilacpitch-edge/src/core/attempts.rs
+++ b/crates/lilacpitch-edge/src/core/attempts.rs
@@ -15,15 +15,28 @@
     Queued,
     /// The set-up was handed to a connection as its message of this number, and is not answered.
     InFlight { upstream: UpstreamId, message: u64 },
+    /// The attempt is given up, and the message that ends it is not known to be written.
+    Ending {
+        /// The connection.
+        upstream: UpstreamId,
+        /// The number of the message on this connection.
+        message: u64,
+        /// How the attempt ends.
+        outcome: Outcome,
+    },
     /// The call is established at the server.
     Established,
 }
 
 impl AttemptState {
-    /// Whether the set-up was handed to a connection, so that the server must be informed of the attempt's
-    /// end.
-    fn was_transmitted(self) -> bool {
-        self != AttemptState::Queued
+    /// Whether the set-up was handed to a connection, and the server must be informed of the attempt's end.
+    fn must_be_cancelled(self) -> bool {
+        matches!(self, AttemptState::InFlight { .. } | AttemptState::Established)
+    }
+
+    /// Whether the attempt is given up and waits for its end to be written.
+    fn is_ending(self) -> bool {
+        matches!(self, AttemptState::Ending { .. })
     }
 }
 
@@ -146,13 +159,58 @@
     pub(super) fn cancel_attempt(&mut self, call: u64, index: u32, effects: &mut Vec<Effect>) {
         let Some(id) = self.calls.get(&call).and_then(|call| call.attempt) else { return };
         let Some(attempt) = self.attempts.get(&id) else { return };
-        if attempt.index == index && attempt.state != AttemptState::Established {
-            self.end_attempt(id, Outcome::Cancelled, LoadReport::default(), effects);
+        let is_open = !attempt.state.is_ending() && attempt.state != AttemptState::Established;
+        if attempt.index == index && is_open {
+            self.give_up_attempt(id, Outcome::Cancelled, effects);
+        }
+    }
+
+    /// Gives up an attempt that is not established, at its time-out or at the controller's request. If the
+    /// server may have received the set-up, the attempt is out until the message that ends it is written or its
+    /// connection is lost, and the controller is informed then; but no later than the call has to be answered.
+    pub(super) fn give_up_attempt(&mut self, id: AttemptId, outcome: Outcome, effects: &mut Vec<Effect>) {
+        let Some(attempt) = self.attempts.get(&id) else { return };
+        if let AttemptState::Ending { outcome, .. } = attempt.state {
+            // The end is not written, and the caller's time is up: the call gets no further attempt.
+            return self.end_attempt(id, outcome, LoadReport::default(), effects);
+        }
+        let (call, server) = (attempt.call, attempt.server);
+        let sent = match attempt.state {
+            AttemptState::InFlight { .. } => {
+                self.transmit_end(server, &ToServer::Cancel { attempt: id }, effects)
+            }
+            _ => None,
+        };
+        let Some((upstream, message)) = sent else {
+            return self.end_attempt(id, outcome, LoadReport::default(), effects);
+        };
+        self.attempts
+            .entry(id)
+            .and_modify(|attempt| attempt.state = AttemptState::Ending { upstream, message, outcome });
+        // Later than the controller's deadline of the call, so that it does not request another attempt.
+        let answer_by_ns = self.calls.get(&call).map_or(0, |call| call.answer_by_ns);
+        let complete_by_ns = answer_by_ns.saturating_sub(self.settings.timing.tick_ns);
+        let timeout_ns = self.timers.at(Timer::AttemptTimeout(id)).unwrap_or(self.now);
+        self.clear_attempt_timers(id);
+        self.timers.set(Timer::AttemptTimeout(id), complete_by_ns.max(timeout_ns));
+    }
+
+    /// Completes an attempt whose end is written.
+    pub(super) fn handle_written(&mut self, upstream: UpstreamId, message: u64, effects: &mut Vec<Effect>) {
+        let Some(server) = self.servers.of_upstream(upstream) else { return };
+        let ending = server.attempts.iter().find_map(|id| match self.attempts.get(id)?.state {
+            AttemptState::Ending { upstream: used, message: end, outcome } => {
+                (used == upstream && end == message).then_some((*id, outcome))
+            }
+            _ => None,
+        });
+        if let Some((id, outcome)) = ending {
+            self.end_attempt(id, outcome, LoadReport::default(), effects);
         }
     }
 
-    /// Ends an attempt that is not established. The controller is informed, and so is the server if it may
-    /// have received the set-up and does not know of the end.
+    /// Ends an attempt that is not established and informs the controller. Its server knows of the end, or never
+    /// had the set-up.
     pub(super) fn end_attempt(
         &mut self,
         id: AttemptId,
@@ -168,10 +226,6 @@
             Outcome::Overloaded(_) => self.counters.attempts_overloaded += 1,
             _ => {}
         }
-        let is_ended_here = matches!(outcome, Outcome::TimedOut | Outcome::Cancelled);
-        if is_ended_here && attempt.state.was_transmitted() {
-            self.transmit(attempt.server, &ToServer::Cancel { attempt: id }, None, effects);
-        }
         if let Some(call) = self.calls.get_mut(&attempt.call) {
             call.attempt = None;
         }
@@ -184,7 +238,7 @@
         let Some(attempt) = self.attempts.remove(&id) else { return };
         self.forget_attempt(id, attempt.server);
         self.counters.attempts_cancelled += 1;
-        if attempt.state.was_transmitted() {
+        if attempt.state.must_be_cancelled() {
             self.transmit(attempt.server, &ToServer::Cancel { attempt: id }, None, effects);
         }
         self.report_completion(&attempt, Outcome::Cancelled, true, LoadReport::default());
--- a/crates/lilacpitch-edge/src/core/calls.rs
+++ b/crates/lilacpitch-edge/src/core/calls.rs
@@ -50,6 +50,8 @@
     pub class: String,
     pub number: Option<String>,
     pub is_established: bool,
+    /// By when its caller must have the final answer.
+    pub answer_by_ns: Nanos,
     /// Set while the fleet looks up the call's number.
     pub pending_locate: Option<PendingLocate>,
     /// The current attempt: queued, in flight or established.
@@ -155,6 +157,7 @@
             class: setup.class,
             number: setup.number,
             is_established: false,
+            answer_by_ns: self.now + arrived.budget_ns,
             pending_locate,
             attempt: None,
             attempts: 0,
--- a/crates/lilacpitch-edge/src/core/mod.rs
+++ b/crates/lilacpitch-edge/src/core/mod.rs
@@ -22,7 +22,7 @@
 
 use attempts::Attempt;
 use calls::Call;
-use lilacpitch::interface::{Action, LoadReport, Nanos, Outcome};
+use lilacpitch::interface::{Action, Nanos, Outcome};
 use lilacpitch::{Controller, Event, Policy, Settings};
 use lilacpitch_config::{Edge, Pools};
 use lilacpitch_net::{StallDetector, Timers};
@@ -80,6 +80,13 @@
         /// The number of the message on this connection, from 0.
         message: u64,
     },
+    /// A message to a server is completely written, as [`Effect::ToServer`] asked to be told.
+    Written {
+        /// The number of the connection.
+        upstream: UpstreamId,
+        /// The number of the message on this connection, from 0.
+        message: u64,
+    },
     /// A new version of the endpoint list was read.
     PoolList(Pools),
     /// Another edge, identified by its origin, reports the state of servers.
@@ -121,6 +128,8 @@
         /// Discard the message if it has not been written by this time; answered by [`Input::NotWritten`]
         /// then.
         not_after_ns: Option<Nanos>,
+        /// Whether [`Input::Written`] is to follow once the message is completely written.
+        reports_written: bool,
     },
     /// End a connection to a server once its queued messages are written. No [`Input::UpstreamClosed`]
     /// follows.
@@ -274,6 +283,7 @@
                 self.handle_upstream_closed(upstream, written, effects);
             }
             Input::NotWritten { upstream, message } => self.handle_not_written(upstream, message, effects),
+            Input::Written { upstream, message } => self.handle_written(upstream, message, effects),
             Input::PoolList(pools) => self.handle_endpoint_list(&pools, effects),
             Input::PeerReported(origin, reports) => self.handle_peer_report(origin, reports),
             Input::RumorsReceived(rumors) => self.handle_rumors(rumors),
@@ -330,7 +340,7 @@
             match timer {
                 Timer::Controller => self.pending_events.push_back(Event::TimerFired),
                 Timer::AttemptTimeout(attempt) => {
-                    self.end_attempt(attempt, Outcome::TimedOut, LoadReport::default(), effects);
+                    self.give_up_attempt(attempt, Outcome::TimedOut, effects);
                 }
                 Timer::Resend(attempt) => self.resend(attempt, effects),
                 Timer::Reconnect(server) => self.connect(server, effects),
--- a/crates/lilacpitch-edge/src/core/upstreams.rs
+++ b/crates/lilacpitch-edge/src/core/upstreams.rs
@@ -74,6 +74,13 @@
         }
     }
 
+    /// The connection, if it is established, and the number of the next message on it, which is counted.
+    fn next_message(&mut self) -> Option<(UpstreamId, u64)> {
+        let UpstreamState::Connected { upstream, messages } = &mut self.state else { return None };
+        *messages += 1;
+        Some((*upstream, *messages - 1))
+    }
+
     pub(super) fn is_never_tried(&self) -> bool {
         self.state == UpstreamState::NeverTried
     }
@@ -128,6 +135,11 @@
         }
     }
 
+    /// The record of the server of a connection, if the connection is still in use.
+    pub(super) fn of_upstream(&self, upstream: UpstreamId) -> Option<&Server> {
+        self.by_id.get(&self.id_of_upstream(upstream)?)
+    }
+
     /// The server of a connection, if the connection is still in use.
     fn id_of_upstream(&self, upstream: UpstreamId) -> Option<ServerId> {
         self.by_upstream.get(&upstream).copied()
@@ -183,11 +195,28 @@
         not_after_ns: Option<Nanos>,
         effects: &mut Vec<Effect>,
     ) -> Option<(UpstreamId, u64)> {
-        let server = self.servers.by_id.get_mut(&id)?;
-        let UpstreamState::Connected { upstream, messages } = &mut server.state else { return None };
-        let (upstream, number) = (*upstream, *messages);
-        *messages += 1;
-        effects.push(Effect::ToServer { upstream, message: number, text: message.encode(), not_after_ns });
+        let (upstream, number) = self.servers.by_id.get_mut(&id)?.next_message()?;
+        let (text, reports_written) = (message.encode(), false);
+        effects.push(Effect::ToServer { upstream, message: number, text, not_after_ns, reports_written });
+        Some((upstream, number))
+    }
+
+    /// Sends a message that ends an attempt, like [`Self::transmit`], and has it reported when it is written.
+    pub(super) fn transmit_end(
+        &mut self,
+        id: ServerId,
+        message: &ToServer,
+        effects: &mut Vec<Effect>,
+    ) -> Option<(UpstreamId, u64)> {
+        let (upstream, number) = self.servers.by_id.get_mut(&id)?.next_message()?;
+        let (text, reports_written) = (message.encode(), true);
+        effects.push(Effect::ToServer {
+            upstream,
+            message: number,
+            text,
+            not_after_ns: None,
+            reports_written,
+        });
         Some((upstream, number))
     }
 
@@ -241,6 +270,7 @@
                 self.end_attempt(id, Outcome::Unreachable, no_report, effects);
             }
             AttemptState::InFlight { .. } => self.end_attempt(id, Outcome::Cut, no_report, effects),
+            AttemptState::Ending { outcome, .. } => self.end_attempt(id, outcome, no_report, effects),
             AttemptState::Established => self.end_call(id, ReleaseCause::Cut, effects),
         }
     }
@@ -318,6 +348,8 @@
         let report = LoadReport { free_capacity };
         let id = message.attempt();
         let state = self.attempts.get(&id).filter(|a| a.server == server).map(|a| a.state);
+        // An attempt that is given up is over for its server's messages.
+        let state = state.filter(|state| !matches!(state, AttemptState::Ending { .. }));
         match (message, state) {
             (FromServer::Answer { .. }, Some(AttemptState::InFlight { .. })) => {
                 self.establish_call(id, report, effects);
--- a/crates/lilacpitch-edge/src/net/connection.rs
+++ b/crates/lilacpitch-edge/src/net/connection.rs
@@ -45,6 +45,8 @@
     pub text: String,
     /// The message is discarded if it has not been encoded by this time.
     pub not_after_ns: Option<Nanos>,
+    /// Whether [`ConnectionEvent::Written`] is to follow once it is completely written.
+    pub reports_written: bool,
 }
 
 /// An event of a connection.
@@ -54,6 +56,8 @@
     Text(String),
     /// The message with this number was discarded because it had waited too long.
     NotWritten(u64),
+    /// The message with this number is completely written, as its sender asked to be told.
+    Written(u64),
 }
 
 /// Why a connection ended.
@@ -111,6 +115,8 @@
     /// Number of messages of the connection that are encoded. All of them may have been sent once another
     /// byte is written.
     encoded: u64,
+    /// Numbers of the encoded messages that are to be reported once all bytes are written.
+    to_report: Vec<u64>,
 }
 
 impl WriteBuffer {
@@ -188,6 +194,11 @@
         let mut is_ping_pending = false;
         let mut write_stall = WriteStall::default();
         loop {
+            if buffer.bytes.is_empty() {
+                for number in buffer.to_report.drain(..) {
+                    on_event(ConnectionEvent::Written(number)).await;
+                }
+            }
             if let Err(cause) = self.deliver_messages(decoder, &mut buffer.bytes, on_event).await {
                 return cause;
             }
@@ -264,6 +275,7 @@
             } else {
                 let mask = self.mask();
                 Encoder::text(&mut buffer.bytes, &message.text, mask);
+                buffer.to_report.extend(message.reports_written.then_some(message.number));
             }
         }
     }
--- a/crates/lilacpitch-edge/src/net/connections.rs
+++ b/crates/lilacpitch-edge/src/net/connections.rs
@@ -152,7 +152,7 @@
         ConnectionEvent::Text(text) => {
             events.send(DriverEvent::Input(Input::CallerText(caller, text))).await.is_ok()
         }
-        ConnectionEvent::NotWritten(_) => true,
+        ConnectionEvent::NotWritten(_) | ConnectionEvent::Written(_) => true,
     };
     let end = connection.run(received, &mut context.queue, on_event).await;
     tracing::debug!(caller, cause = %end.cause, "caller connection ended");
@@ -200,6 +200,7 @@
         let input = match event {
             ConnectionEvent::Text(text) => Input::UpstreamText(upstream, text),
             ConnectionEvent::NotWritten(message) => Input::NotWritten { upstream, message },
+            ConnectionEvent::Written(message) => Input::Written { upstream, message },
         };
         events.send(DriverEvent::Input(input)).await.is_ok()
     };
--- a/crates/lilacpitch-edge/src/net/driver.rs
+++ b/crates/lilacpitch-edge/src/net/driver.rs
@@ -248,9 +248,9 @@
     fn carry_out(&mut self, effect: Effect) {
         match effect {
             Effect::ToCaller(caller, text) => self.send_to_caller(caller, text),
-            Effect::ToServer { upstream, message, text, not_after_ns } => {
+            Effect::ToServer { upstream, message, text, not_after_ns, reports_written } => {
                 let Some(handle) = self.upstreams.get(&upstream) else { return };
-                if !handle.queue(Outgoing { number: message, text, not_after_ns }) {
+                if !handle.queue(Outgoing { number: message, text, not_after_ns, reports_written }) {
                     self.feed_later(Input::NotWritten { upstream, message });
                 }
             }
@@ -280,7 +280,7 @@
     /// caller whose queue is full even so is disconnected at once.
     fn send_to_caller(&mut self, caller: CallerId, text: String) {
         let Some(handle) = self.callers.get(&caller) else { return };
-        if handle.queue(Outgoing { number: 0, text, not_after_ns: None }) {
+        if handle.queue(Outgoing { number: 0, text, not_after_ns: None, reports_written: false }) {
             return;
         }
         handle.task.abort();
--- a/crates/lilacpitch-testbed/src/callers.rs
+++ b/crates/lilacpitch-testbed/src/callers.rs
@@ -184,7 +184,7 @@
                 ConnectionEvent::Text(text) => {
                     received.send(Received { socket: index, connection, text: Some(text) }).await.is_ok()
                 }
-                ConnectionEvent::NotWritten(_) => true,
+                ConnectionEvent::NotWritten(_) | ConnectionEvent::Written(_) => true,
             };
             websocket.run(&unread_bytes, &mut queue, on_event).await;
             let _ = received.send(Received { socket: index, connection, text: None }).await;
@@ -196,7 +196,12 @@
     fn send(&mut self, socket: usize, message: &FromCaller) {
         if let Some(socket) = &self.sockets[socket] {
             let text = message.encode();
-            let _ = socket.outgoing.try_send(Outgoing { number: 0, text, not_after_ns: None });
+            let _ = socket.outgoing.try_send(Outgoing {
+                number: 0,
+                text,
+                not_after_ns: None,
+                reports_written: false,
+            });
         }
     }
 
--- a/crates/lilacpitch-testbed/src/edges.rs
+++ b/crates/lilacpitch-testbed/src/edges.rs
@@ -177,7 +177,9 @@
                 let answer =
                     ToCaller::Final { call, answer: Answer::Stands, come_back_ms: None, cause: None };
                 let text = answer.encode();
-                return outgoing.try_send(Outgoing { number: 0, text, not_after_ns: None }).is_ok();
+                return outgoing
+                    .try_send(Outgoing { number: 0, text, not_after_ns: None, reports_written: false })
+                    .is_ok();
             }
         }
         true
--- a/crates/lilacpitch-testbed/src/simulated_run.rs
+++ b/crates/lilacpitch-testbed/src/simulated_run.rs
@@ -419,8 +419,13 @@
                 let at = self.arrival_ns((FRONT_TO_SERVER, front, server));
                 self.schedule(at, Event::Connect { front, link, server });
             }
-            Effect::ToServer { upstream: link, text, .. } => {
+            Effect::ToServer { upstream: link, message, text, reports_written, .. } => {
                 let Some(server) = self.connected_server(front, link) else { return };
+                if reports_written {
+                    // Connections of this simulation are never full.
+                    let written = Input::Written { upstream: link, message };
+                    self.schedule(self.now, Event::ToFront(front, written));
+                }
                 let at = self.arrival_ns((FRONT_TO_SERVER, front, server));
                 self.schedule(at, Event::ToServer { front, link, server, text });
             }
--- a/crates/lilacpitch-testbed/src/standin.rs
+++ b/crates/lilacpitch-testbed/src/standin.rs
@@ -173,7 +173,7 @@
                 ConnectionEvent::Text(text) => {
                     events.send(SocketEvent::Text { connection, text }).await.is_ok()
                 }
-                ConnectionEvent::NotWritten(_) => true,
+                ConnectionEvent::NotWritten(_) | ConnectionEvent::Written(_) => true,
             };
             websocket.run(&unread_bytes, &mut queue, on_event).await;
             let _ = events.send(SocketEvent::Closed { connection }).await;
@@ -222,7 +222,12 @@
         let connection = self.by_edge.get(&edge).and_then(|id| self.connections.get(id));
         let Some(connection) = connection else { return };
         let text = message.encode();
-        let _ = connection.outgoing.try_send(Outgoing { number: 0, text, not_after_ns: None });
+        let _ = connection.outgoing.try_send(Outgoing {
+            number: 0,
+            text,
+            not_after_ns: None,
+            reports_written: false,
+        });
         let seen = Seen::sent_by_server(&self.name, edge, &message);
         self.record(seen);
     }
