Site: a connection is given little memory until its peer has shown the key

Operators saw processes killed for their memory while hundreds of clients sent half of a long request.

Cause: frames of up to 8 MiB were buffered before the Hello, and the number of handshakes and of connections for the pages had no limit.

Change: frames before the Hello end at 4 KiB; both numbers are limited, and the oldest gives way at the limit.

--- a/crates/lilacpitch-rpc/src/handshake.rs
+++ b/crates/lilacpitch-rpc/src/handshake.rs
@@ -16,6 +16,10 @@
 use tokio::net::TcpStream;
 use tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec};
 
+/// Longest frame in bytes before the other end has shown by its Hello that it has the key. A longer one could make
+/// anyone who connects occupy as much memory as the longest message.
+const MAX_HELLO_FRAME_BYTES: usize = 4 * 1024;
+
 /// The receiving half of a connection.
 pub(crate) struct FrameSource {
     pub(crate) stream: FramedRead<OwnedReadHalf, LengthDelimitedCodec>,
@@ -60,17 +64,17 @@
     timeout: Duration,
 ) -> Result<Arc<RpcConnection>, RpcError> {
     let _ = stream.set_nodelay(true);
-    let codec = LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_codec();
+    let codec = |max_bytes| LengthDelimitedCodec::builder().max_frame_length(max_bytes).new_codec();
     let (read_half, write_half) = stream.into_split();
     let mut rng =
         StdRng::try_from_os_rng().map_err(|error| handshake_error(format!("no random numbers: {error}")))?;
     let nonce: u64 = rng.random_range(1..=u64::MAX);
     let mut source = FrameSource {
-        stream: FramedRead::new(read_half, codec.clone()),
+        stream: FramedRead::new(read_half, codec(MAX_HELLO_FRAME_BYTES)),
         reader: FrameReader::new(identity.keys.clone(), nonce),
     };
     let mut sink = FrameSink {
-        stream: FramedWrite::new(write_half, codec),
+        stream: FramedWrite::new(write_half, codec(MAX_FRAME_BYTES)),
         writer: FrameWriter::new(identity.keys.clone()),
         rng,
     };
@@ -84,6 +88,7 @@
         Err(_) => return Err(handshake_error("no Hello in time")),
     };
     sink.writer.set_peer(&peer);
+    source.stream.decoder_mut().set_max_frame_length(MAX_FRAME_BYTES);
     Ok(RpcConnection::spawn(peer, source, sink, handler))
 }
 
--- a/crates/lilacpitch-rpc/tests/connections.rs
+++ b/crates/lilacpitch-rpc/tests/connections.rs
@@ -162,3 +162,23 @@
         );
     }
 }
+
+/// Guards against anyone who connects and makes a process occupy as much memory as the longest message, without the
+/// key.
+#[tokio::test]
+async fn long_frame_before_the_hello_ends_the_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let b = identity("b", 2, 1);
+    let stranger = async {
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        stream.write_u32(64 * 1024).await.unwrap();
+        drop(stream.read_to_end(&mut Vec::new()).await);
+    };
+    let accepted =
+        async { accept(listener.accept().await.unwrap().0, &b, Arc::new(TestHandler), TIMEOUT).await };
+    let started = std::time::Instant::now();
+    let ((), result) = tokio::join!(stranger, accepted);
+    assert!(matches!(result, Err(RpcError::Handshake(_))), "{:?}", result.err());
+    assert!(started.elapsed() < TIMEOUT / 2, "closed by the time limit only");
+}
--- a/crates/lilacpitch-site/src/admin_pages.rs
+++ b/crates/lilacpitch-site/src/admin_pages.rs
@@ -3,6 +3,7 @@
 
 use crate::clock::now;
 use crate::process::Process;
+use crate::task_limit::TaskLimit;
 use lilacpitch_fleet::audit::ActiveVersion;
 use lilacpitch_fleet::error::AuditError;
 use lilacpitch_fleet::message::{CommandAction, LogPosition, PurgeScope, Request, Response};
@@ -19,6 +20,8 @@
 
 /// The timeout of a request, and the delay before the next accept after one failed.
 const TIMEOUT: Duration = Duration::from_secs(5);
+/// Most connections for the pages.
+const MAX_CONNECTIONS: usize = 256;
 /// Longest name of an owner in a purge, in bytes.
 const MAX_OWNER_BYTES: usize = 64;
 /// The list of all pages, which is the text of the 404 page.
@@ -38,13 +41,15 @@
 
 /// Serves the pages; each connection is handled by a task of its own.
 pub(crate) async fn serve(process: Arc<Process>, listener: TcpListener) {
+    let mut connections = TaskLimit::new(MAX_CONNECTIONS);
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 let process = process.clone();
-                tokio::spawn(async move {
+                let connection = tokio::spawn(async move {
                     let _ = tokio::time::timeout(TIMEOUT, serve_connection(stream, process)).await;
                 });
+                connections.add(connection.abort_handle());
             }
             Err(error) => {
                 tracing::warn!(%error, "accepting a connection for the pages failed");
--- a/crates/lilacpitch-site/src/lib.rs
+++ b/crates/lilacpitch-site/src/lib.rs
@@ -36,4 +36,5 @@
 mod request_handler;
 pub mod startup;
 mod summaries;
+mod task_limit;
 mod write_queue;
--- a/crates/lilacpitch-site/src/startup.rs
+++ b/crates/lilacpitch-site/src/startup.rs
@@ -9,6 +9,7 @@
 use crate::process::{Counters, Process};
 use crate::read_barrier::ReadBarrier;
 use crate::record_store::{creation, purges, reads, removal, writes};
+use crate::task_limit::TaskLimit;
 use crate::write_queue::{QueuedWrite, WriteQueue};
 use crate::{ack_reporter, admin_pages, command_log, lease_client, log_membership, summaries};
 use lilacpitch_config::Site;
@@ -39,6 +40,9 @@
 
 /// The timeout of connecting, and that of the handshake.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Most connections whose handshake is in progress. A process has far fewer peers, and the handshake of each takes
+/// some milliseconds.
+const MAX_HANDSHAKES: usize = 256;
 /// The delay before the next accept after one failed. Most likely the file descriptors are exhausted;
 /// established connections continue.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
@@ -282,16 +286,18 @@
 }
 
 async fn accept_connections(process: Arc<Process>, listener: TcpListener) {
+    let mut handshakes = TaskLimit::new(MAX_HANDSHAKES);
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
                 let process = process.clone();
-                tokio::spawn(async move {
+                let handshake = tokio::spawn(async move {
                     let identity = process.identity.clone();
                     if let Err(error) = accept(stream, &identity, process, CONNECT_TIMEOUT).await {
                         tracing::debug!(from = %peer, %error, "handshake failed");
                     }
                 });
+                handshakes.add(handshake.abort_handle());
             }
             Err(error) => {
                 tracing::warn!(%error, "accepting a connection failed");
