Fleet: a process at the address of another gets no request

Operators saw work go to the wrong place where a new process had come up at the address of one that had gone. Here: whoever connects to a site's process by its settings took any process with the key that listens there for it.

Cause: the Hello names site and index, but was not compared with what the settings say of the address.

Change: connect and Dialer take the expected role; a connection to another process is closed before any request, with an error that names both. Fronts and processes pass on site and index of each address of their settings.

--- a/crates/lilacpitch-edge/src/fleet/locate_dispatcher.rs
+++ b/crates/lilacpitch-edge/src/fleet/locate_dispatcher.rs
@@ -263,9 +263,12 @@
         Ok(Response::Rejected(_)) => (Outcome::NoCircuit, None),
         Ok(_) => (Outcome::Fault, None),
         Err(RpcError::TimedOut) => (Outcome::TimedOut, None),
-        Err(RpcError::Unreachable(..) | RpcError::Handshake(_) | RpcError::Backlog) => {
-            (Outcome::Unreachable, None)
-        }
+        Err(
+            RpcError::Unreachable(..)
+            | RpcError::Handshake(_)
+            | RpcError::WrongPeer { .. }
+            | RpcError::Backlog,
+        ) => (Outcome::Unreachable, None),
         Err(RpcError::Closed | RpcError::Frame(_)) => (Outcome::Cut, None),
     }
 }
--- a/crates/lilacpitch-edge/src/fleet/mod.rs
+++ b/crates/lilacpitch-edge/src/fleet/mod.rs
@@ -292,16 +292,20 @@
     to_driver: mpsc::Sender<FromAgent>,
 ) -> (Arc<Agent>, locate_dispatcher::LocateDispatcher) {
     let handler = Arc::new(AgentRequestHandler::default());
-    let dial = |address: &std::net::SocketAddr| {
+    let dial = |address: &std::net::SocketAddr, role: Role| {
         Arc::new(Dialer::new(
             *address,
+            role,
             identity.clone(),
             handler.clone() as Arc<dyn RequestHandler>,
             CONNECT_TIMEOUT,
         ))
     };
     let dial_site = |site: &lilacpitch_config::SiteAt| {
-        (site.name.clone(), site.processes.iter().map(dial).collect::<Vec<_>>())
+        let processes = site.processes.iter().zip(0..);
+        let dialers =
+            processes.map(|(address, index)| dial(address, Role::Process(site.name.clone(), index)));
+        (site.name.clone(), dialers.collect::<Vec<_>>())
     };
     let sites: Vec<(String, Vec<Arc<Dialer>>)> = settings.sites.iter().map(dial_site).collect();
     let home_site = sites.iter().find(|(name, _)| *name == settings.home);
--- a/crates/lilacpitch-fleet/src/message.rs
+++ b/crates/lilacpitch-fleet/src/message.rs
@@ -27,6 +27,15 @@
     Process(String, u32),
 }
 
+impl fmt::Display for Role {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Role::Front => f.write_str("a front"),
+            Role::Process(site, index) => write!(f, "process {index} of site {site}"),
+        }
+    }
+}
+
 /// The first message that each end of a connection sends.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Hello {
--- a/crates/lilacpitch-rpc/src/dialer.rs
+++ b/crates/lilacpitch-rpc/src/dialer.rs
@@ -3,7 +3,7 @@
 use crate::connection::{LocalIdentity, RequestHandler, RpcConnection};
 use crate::error::RpcError;
 use crate::handshake::connect;
-use lilacpitch_fleet::message::{Request, Response};
+use lilacpitch_fleet::message::{Request, Response, Role};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,6 +13,8 @@
 pub struct Dialer {
     /// The address on which the process listens.
     pub address: SocketAddr,
+    /// The role of the process.
+    role: Role,
     identity: LocalIdentity,
     handler: Arc<dyn RequestHandler>,
     connect_timeout: Duration,
@@ -21,15 +23,17 @@
 }
 
 impl Dialer {
-    /// Creates a dialer, which connects on its first request. `handler` handles the requests of the other
+    /// Creates a dialer for the process with this role, which connects on its first request. It doesn't use a
+    /// connection to another process that has taken the address. `handler` handles the requests of the other
     /// end. Connecting and the handshake may each take up to `connect_timeout`.
     pub fn new(
         address: SocketAddr,
+        role: Role,
         identity: LocalIdentity,
         handler: Arc<dyn RequestHandler>,
         connect_timeout: Duration,
     ) -> Self {
-        Dialer { address, identity, handler, connect_timeout, slot: Mutex::new(None) }
+        Dialer { address, role, identity, handler, connect_timeout, slot: Mutex::new(None) }
     }
 
     /// Returns the open connection, or opens one.
@@ -42,7 +46,8 @@
             return Ok(connection.clone());
         }
         let connection =
-            connect(self.address, &self.identity, self.handler.clone(), self.connect_timeout).await?;
+            connect(self.address, &self.role, &self.identity, self.handler.clone(), self.connect_timeout)
+                .await?;
         *slot = Some(connection.clone());
         Ok(connection)
     }
--- a/crates/lilacpitch-rpc/src/error.rs
+++ b/crates/lilacpitch-rpc/src/error.rs
@@ -1,6 +1,7 @@
 //! The errors of connections and requests.
 
 use lilacpitch_fleet::error::FrameError;
+use lilacpitch_fleet::message::Role;
 use miette::Diagnostic;
 use std::net::SocketAddr;
 use thiserror::Error;
@@ -19,6 +20,20 @@
         help("check which program listens at that address, and that both processes have the same key")
     )]
     Handshake(String),
+    /// Another process than the one in the settings listens at the address.
+    #[error("{address} is {found}, not {expected}")]
+    #[diagnostic(
+        code(link::other),
+        help("a process has taken the address of another one: correct the addresses in the settings")
+    )]
+    WrongPeer {
+        /// The address.
+        address: SocketAddr,
+        /// The role of the process that listens there by the settings.
+        expected: Role,
+        /// The role of the one that does.
+        found: Role,
+    },
     /// A frame was rejected.
     #[error(transparent)]
     #[diagnostic(transparent)]
--- a/crates/lilacpitch-rpc/src/handshake.rs
+++ b/crates/lilacpitch-rpc/src/handshake.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use lilacpitch_fleet::frame::{FrameReader, FrameWriter, MAX_FRAME_BYTES};
-use lilacpitch_fleet::message::{Body, Hello, VERSION};
+use lilacpitch_fleet::message::{Body, Hello, Role, VERSION};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::net::SocketAddr;
@@ -34,12 +34,14 @@
     pub(crate) rng: StdRng,
 }
 
-/// Connects to a process and performs the handshake; each of the two may take up to `timeout`.
+/// Connects to the process with this role and performs the handshake; each of the two may take up to `timeout`.
 ///
 /// # Errors
-/// [`RpcError::Unreachable`] if no connection could be made; otherwise the errors of [`accept`].
+/// [`RpcError::Unreachable`] if no connection could be made, [`RpcError::WrongPeer`] if another process listens at
+/// the address by now; otherwise the errors of [`accept`].
 pub async fn connect(
     address: SocketAddr,
+    role: &Role,
     identity: &LocalIdentity,
     handler: Arc<dyn RequestHandler>,
     timeout: Duration,
@@ -50,7 +52,24 @@
         Ok(Err(error)) => return Err(RpcError::Unreachable(address, error)),
         Err(_) => return Err(RpcError::Unreachable(address, timed_out())),
     };
-    accept(stream, identity, handler, timeout).await
+    let established = handshake(stream, identity, timeout).await?;
+    if established.peer.role != *role {
+        return Err(RpcError::WrongPeer { address, expected: role.clone(), found: established.peer.role });
+    }
+    Ok(established.spawn(handler))
+}
+
+/// A connection whose handshake is complete.
+struct Established {
+    peer: Hello,
+    source: FrameSource,
+    sink: FrameSink,
+}
+
+impl Established {
+    fn spawn(self, handler: Arc<dyn RequestHandler>) -> Arc<RpcConnection> {
+        RpcConnection::spawn(self.peer, self.source, self.sink, handler)
+    }
 }
 
 /// Performs the handshake on a connected stream, within `timeout`. Both ends do the same.
@@ -63,6 +82,14 @@
     handler: Arc<dyn RequestHandler>,
     timeout: Duration,
 ) -> Result<Arc<RpcConnection>, RpcError> {
+    Ok(handshake(stream, identity, timeout).await?.spawn(handler))
+}
+
+async fn handshake(
+    stream: TcpStream,
+    identity: &LocalIdentity,
+    timeout: Duration,
+) -> Result<Established, RpcError> {
     let _ = stream.set_nodelay(true);
     let codec = |max_bytes| LengthDelimitedCodec::builder().max_frame_length(max_bytes).new_codec();
     let (read_half, write_half) = stream.into_split();
@@ -89,7 +116,7 @@
     };
     sink.writer.set_peer(&peer);
     source.stream.decoder_mut().set_max_frame_length(MAX_FRAME_BYTES);
-    Ok(RpcConnection::spawn(peer, source, sink, handler))
+    Ok(Established { peer, source, sink })
 }
 
 fn own_hello(identity: &LocalIdentity, nonce: u64) -> Hello {
--- a/crates/lilacpitch-site/src/startup.rs
+++ b/crates/lilacpitch-site/src/startup.rs
@@ -193,13 +193,14 @@
 impl Dialers {
     fn new(settings: &Site, identity: &LocalIdentity) -> Self {
         let handler = Arc::new(LateBoundHandler::default());
-        let dial = |address: &SocketAddr| {
+        let dial = |address: &SocketAddr, role: Role| {
             let handler: Arc<dyn RequestHandler> = handler.clone();
-            Arc::new(Dialer::new(*address, identity.clone(), handler, CONNECT_TIMEOUT))
+            Arc::new(Dialer::new(*address, role, identity.clone(), handler, CONNECT_TIMEOUT))
         };
         let find_site = |name: &str| settings.sites.iter().find(|site| site.name == name);
         let dial_site = |name: &str| -> Vec<Arc<Dialer>> {
-            find_site(name).map_or(Vec::new(), |site| site.processes.iter().map(dial).collect())
+            let processes = find_site(name).map_or(&[][..], |site| &site.processes).iter().zip(0..);
+            processes.map(|(address, index)| dial(address, Role::Process(name.to_string(), index))).collect()
         };
         let siblings = dial_site(&settings.site).into();
         let parents = find_site(&settings.site).map_or(Vec::new(), |own_site| dial_site(&own_site.parent));
