WebSocket edge: requests of a client that has left are not sent on

Cause: the edge read a connection to its end before it knew of the close, and the queue of its driver kept the order of messages and ends.

Change: the socket is asked for a close before each read and while a message waits for the driver; what such a client sent before is discarded. A client may have 16 messages in the driver's queue, which holds 1,024 instead of 4,096, so that one flooding client does not fill it.

--- a/crates/lilacpitch-edge/src/net/connection.rs
+++ b/crates/lilacpitch-edge/src/net/connection.rs
@@ -13,9 +13,11 @@
 use rand::rngs::StdRng;
 use rand::RngCore;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::time::Duration;
 use thiserror::Error;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 
@@ -23,6 +25,8 @@
 const MAX_BATCH: usize = 64;
 /// Number of bytes read at once. No more is read while at least as many bytes wait to be written.
 const READ_BYTES: usize = 16 * 1024;
+/// How often the socket is checked for a close by the other end while a message waits for its receiver.
+const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// How long the other end may take to read the remaining bytes once the connection is being closed.
 const LINGER: Duration = Duration::from_secs(1);
 
@@ -149,6 +153,8 @@
     pub quiet: Option<Duration>,
     /// What happens if the other end does not read; `None`: it may stop reading for any time.
     pub write_limits: Option<WriteLimits>,
+    /// Set as soon as a client is known to have closed. What it sent before and is not delivered is discarded.
+    pub has_client_left: Arc<AtomicBool>,
 }
 
 impl WebSocketConnection {
@@ -202,7 +208,7 @@
             if let Err(cause) = self.deliver_messages(decoder, &mut buffer.bytes, on_event).await {
                 return cause;
             }
-            let (mut reader, mut writer) = self.stream.split();
+            let (reader, mut writer) = self.stream.split();
             let quiet = self.quiet.unwrap_or(Duration::MAX);
             let exceeded = self.write_limits.filter(|limits| out.len() > limits.unread_messages);
             let stall_deadline = write_stall.deadline(exceeded.map(|limits| limits.stall_timeout));
@@ -211,8 +217,13 @@
             tokio::select! {
                 // Not read while too many bytes wait to be written: a peer that floods pings and reads no
                 // pongs must not make the buffer grow.
-                result = reader.read_buf(&mut incoming), if may_read => {
-                    match result {
+                ready = reader.ready(Interest::READABLE), if may_read => {
+                    if self.role == Role::Server && ready.as_ref().is_ok_and(|ready| ready.is_read_closed()) {
+                        self.has_client_left.store(true, Ordering::Relaxed);
+                        return EndCause::EndOfStream;
+                    }
+                    match ready.and_then(|_| reader.try_read_buf(&mut incoming)) {
+                        Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
                         Ok(0) => return EndCause::EndOfStream,
                         Ok(_) => {
                             is_ping_pending = false;
@@ -296,7 +307,10 @@
             };
             match message {
                 Message::Text(text) => {
-                    if !on_event(ConnectionEvent::Text(text)).await {
+                    if self.has_client_left.load(Ordering::Relaxed) {
+                        return Err(EndCause::EndOfStream);
+                    }
+                    if !self.deliver(text, on_event).await {
                         return Err(EndCause::ReceiverClosed);
                     }
                 }
@@ -319,6 +333,23 @@
         }
     }
 
+    /// Delivers a text message, checking for a close by a client meanwhile. Returns `false` once no more is
+    /// accepted.
+    async fn deliver(&self, text: String, on_event: &mut impl AsyncFnMut(ConnectionEvent) -> bool) -> bool {
+        let mut delivery = std::pin::pin!(on_event(ConnectionEvent::Text(text)));
+        loop {
+            tokio::select! {
+                biased;
+                is_accepted = &mut delivery => return is_accepted,
+                () = tokio::time::sleep(CLOSE_CHECK_INTERVAL), if self.role == Role::Server => {
+                    if lilacpitch_net::is_read_closed(&self.stream).await {
+                        self.has_client_left.store(true, Ordering::Relaxed);
+                    }
+                }
+            }
+        }
+    }
+
     fn reject_frame(&mut self, error: FrameError, bytes: &mut Vec<u8>) -> EndCause {
         let mask = self.mask();
         Encoder::close(bytes, error.close_code(), &error.to_string(), mask);
--- a/crates/lilacpitch-edge/src/net/connections.rs
+++ b/crates/lilacpitch-edge/src/net/connections.rs
@@ -13,6 +13,8 @@
 use lilacpitch_protocol::handshake;
 use rand::rngs::StdRng;
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -24,6 +26,8 @@
 
 /// How long a caller for which too much waits may accept nothing.
 const STALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// Most messages of a caller that wait for the driver, so that one that sends much doesn't delay others.
+const UNHANDLED_MESSAGES_PER_CALLER: usize = 16;
 /// Most messages that one call sends to its caller, or to a server without a deadline.
 const MESSAGES_PER_CALL: usize = 4;
 
@@ -33,6 +37,10 @@
     /// Places of the queue that are kept for messages which must not be dropped.
     reserved: usize,
     pub task: AbortHandle,
+    /// Number of messages that its task may still pass to the driver before the driver has handled one.
+    pub event_slots: Arc<Semaphore>,
+    /// Whether its client has closed; its messages that are yet to be handled are discarded.
+    pub has_client_left: Arc<AtomicBool>,
 }
 
 impl ConnectionHandle {
@@ -50,9 +58,32 @@
     clock: Clock,
     rng: StdRng,
     queue: mpsc::Receiver<Outgoing>,
+    event_slots: Arc<Semaphore>,
+    has_client_left: Arc<AtomicBool>,
+}
+
+/// What the driver's handle of a connection shares with its task.
+struct SharedState {
+    event_slots: Arc<Semaphore>,
+    has_client_left: Arc<AtomicBool>,
+}
+
+/// Creates the driver's handle of a connection.
+fn handle(
+    out: mpsc::Sender<Outgoing>,
+    reserved: usize,
+    task: AbortHandle,
+    shared: &SharedState,
+) -> ConnectionHandle {
+    let (event_slots, has_client_left) = (shared.event_slots.clone(), shared.has_client_left.clone());
+    ConnectionHandle { out, reserved, task, event_slots, has_client_left }
 }
 
 impl ConnectionContext {
+    fn shared(&self) -> SharedState {
+        SharedState { event_slots: self.event_slots.clone(), has_client_left: self.has_client_left.clone() }
+    }
+
     /// Sends an input to the driver. Returns whether the driver is still running.
     async fn send(&self, input: Input) -> bool {
         self.events.send(DriverEvent::Input(input)).await.is_ok()
@@ -76,6 +107,7 @@
         let reserved = limits.calls_per_caller.saturating_mul(MESSAGES_PER_CALL) + EVENT_QUEUE;
         let write_limits = WriteLimits { unread_messages: limits.queue, stall_timeout: STALL_TIMEOUT };
         let (out, context) = self.connection_context(reserved);
+        let shared = context.shared();
         let quiet = Duration::from_nanos(self.settings.timing.quiet_ns);
         let task = tokio::task::spawn_local(serve_caller(
             caller,
@@ -84,7 +116,7 @@
             CallerTiming { quiet, write_limits },
             context,
         ));
-        self.callers.insert(caller, ConnectionHandle { out, reserved, task: task.abort_handle() });
+        self.callers.insert(caller, handle(out, reserved, task.abort_handle(), &shared));
         self.feed(Input::CallerOpened(caller));
     }
 
@@ -92,10 +124,11 @@
     pub(super) fn connect(&mut self, upstream: UpstreamId, address: SocketAddr) {
         let reserved = self.settings.limits.calls.saturating_mul(MESSAGES_PER_CALL);
         let (out, context) = self.connection_context(reserved);
+        let shared = context.shared();
         let timeout = Duration::from_nanos(self.settings.timing.connect_ns);
         let target = format!("/signal/{}", self.settings.name);
         let task = tokio::task::spawn_local(run_upstream(upstream, address, target, timeout, context));
-        self.upstreams.insert(upstream, ConnectionHandle { out, reserved, task: task.abort_handle() });
+        self.upstreams.insert(upstream, handle(out, reserved, task.abort_handle(), &shared));
     }
 
     /// Creates a queue of the limited size and a reserve, and what the task of its connection needs.
@@ -103,7 +136,9 @@
         let capacity = self.settings.limits.queue.saturating_add(reserved).min(Semaphore::MAX_PERMITS);
         let (out, queue) = mpsc::channel(capacity);
         let (events, clock, rng) = (self.events.clone(), self.clock, self.fork_rng());
-        (out, ConnectionContext { events, clock, rng, queue })
+        let event_slots = Arc::new(Semaphore::new(UNHANDLED_MESSAGES_PER_CALLER));
+        let has_client_left = Arc::default();
+        (out, ConnectionContext { events, clock, rng, queue, event_slots, has_client_left })
     }
 }
 
@@ -146,10 +181,16 @@
     }
     let (clock, rng) = (context.clock, context.rng.clone());
     let (quiet, write_limits) = (Some(timing.quiet), Some(timing.write_limits));
-    let connection = WebSocketConnection { stream, role: Role::Server, clock, rng, quiet, write_limits };
-    let events = context.events.clone();
+    let has_client_left = context.has_client_left.clone();
+    let role = Role::Server;
+    let connection = WebSocketConnection { stream, role, clock, rng, quiet, write_limits, has_client_left };
+    let (events, event_slots) = (context.events.clone(), context.event_slots.clone());
     let on_event = async |event| match event {
         ConnectionEvent::Text(text) => {
+            // The driver returns the slot once it has handled the message.
+            if let Ok(slot) = event_slots.acquire().await {
+                slot.forget();
+            }
             events.send(DriverEvent::Input(Input::CallerText(caller, text))).await.is_ok()
         }
         ConnectionEvent::NotWritten(_) | ConnectionEvent::Written(_) => true,
@@ -193,8 +234,15 @@
     context: &mut ConnectionContext,
 ) -> u64 {
     let (clock, rng) = (context.clock, context.rng.clone());
-    let connection =
-        WebSocketConnection { stream, role: Role::Client, clock, rng, quiet: None, write_limits: None };
+    let connection = WebSocketConnection {
+        stream,
+        role: Role::Client,
+        clock,
+        rng,
+        quiet: None,
+        write_limits: None,
+        has_client_left: context.has_client_left.clone(),
+    };
     let events = context.events.clone();
     let on_event = async |event| {
         let input = match event {
--- a/crates/lilacpitch-edge/src/net/driver.rs
+++ b/crates/lilacpitch-edge/src/net/driver.rs
@@ -12,6 +12,7 @@
 use rand::rngs::StdRng;
 use rand::SeedableRng;
 use std::collections::BTreeMap;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
@@ -130,6 +131,13 @@
         match event {
             DriverEvent::Input(input) => {
                 match &input {
+                    Input::CallerText(caller, _) => {
+                        let Some(connection) = self.callers.get(caller) else { return };
+                        connection.event_slots.add_permits(1);
+                        if connection.has_client_left.load(Ordering::Relaxed) {
+                            return;
+                        }
+                    }
                     Input::CallerClosed(caller) => drop(self.callers.remove(caller)),
                     Input::UpstreamClosed { upstream, .. } => drop(self.upstreams.remove(upstream)),
                     _ => {}
--- a/crates/lilacpitch-edge/src/net/startup.rs
+++ b/crates/lilacpitch-edge/src/net/startup.rs
@@ -18,7 +18,7 @@
 use tokio::sync::mpsc;
 
 /// Capacity of the driver's event queue. While it is full, connections are not read.
-pub(super) const EVENT_QUEUE: usize = 4096;
+pub(super) const EVENT_QUEUE: usize = 1024;
 
 /// The addresses of an edge that has started.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/lilacpitch-edge/tests/common/mod.rs
+++ b/crates/lilacpitch-edge/tests/common/mod.rs
@@ -296,6 +296,13 @@
         nix::sys::signal::kill(nix::unistd::Pid::from_raw(self.child.id() as i32), signal).unwrap();
     }
 
+    /// Returns the memory that the process holds for itself, without the pages of its program file, in kB.
+    pub(crate) fn anonymous_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find(|line| line.starts_with("RssAnon:")).unwrap();
+        line.split_whitespace().nth(1).unwrap().parse().unwrap()
+    }
+
     /// Waits for the end of the process. Returns whether it exited with success, or `None` after the timeout.
     pub(crate) fn wait_for_exit(&mut self, timeout: Duration) -> Option<bool> {
         let deadline = Instant::now() + timeout;
--- a/crates/lilacpitch-net/src/connection.rs
+++ b/crates/lilacpitch-net/src/connection.rs
@@ -526,7 +526,7 @@
 }
 
 /// Whether the peer has closed, even if data that it sent before is unread.
-async fn is_read_closed(stream: &TcpStream) -> bool {
+pub async fn is_read_closed(stream: &TcpStream) -> bool {
     tokio::select! {
         biased;
         ready = stream.ready(Interest::READABLE) => ready.is_ok_and(|ready| ready.is_read_closed()),
--- a/crates/lilacpitch-net/src/lib.rs
+++ b/crates/lilacpitch-net/src/lib.rs
@@ -19,7 +19,9 @@
 pub use addresses::free_addresses;
 pub use clock::{sleep_until, Clock};
 pub use closing::{ClosingConnection, DrainQuota};
-pub use connection::{Codec, Connection, ConnectionEnd, ConnectionEvent, EndReason, WriteLimits};
+pub use connection::{
+    is_read_closed, Codec, Connection, ConnectionEnd, ConnectionEvent, EndReason, WriteLimits,
+};
 pub use listener::listen;
 pub use outbox::{CancelOutcome, CloseMode, Outbox, OutgoingMessage, QueueSize, WriteProgress};
 pub use queued_bytes::QueuedBytes;
--- a/crates/lilacpitch-testbed/src/callers.rs
+++ b/crates/lilacpitch-testbed/src/callers.rs
@@ -179,6 +179,7 @@
                 rng,
                 quiet: None,
                 write_limits: None,
+                has_client_left: std::sync::Arc::default(),
             };
             let on_event = async |event| match event {
                 ConnectionEvent::Text(text) => {
--- a/crates/lilacpitch-testbed/src/edges.rs
+++ b/crates/lilacpitch-testbed/src/edges.rs
@@ -170,6 +170,7 @@
         rng: StdRng::seed_from_u64(0),
         quiet: None,
         write_limits: None,
+        has_client_left: std::sync::Arc::default(),
     };
     let on_event = async |event| {
         if let ConnectionEvent::Text(text) = event {
--- a/crates/lilacpitch-testbed/src/standin.rs
+++ b/crates/lilacpitch-testbed/src/standin.rs
@@ -168,6 +168,7 @@
                 rng,
                 quiet: None,
                 write_limits: None,
+                has_client_left: std::sync::Arc::default(),
             };
             let on_event = async |event| match event {
                 ConnectionEvent::Text(text) => {
