A restart in the list closes the connections to the former process

Set-ups were sent to a process that had gone: its machine was lost without a reset, the list reported a new process at the same address, and the front node and the WebSocket edge went on with the connections to the former one. In the edge its calls were never released, neither then nor if another server had the address.

Cause: only a change of address closed connections.

Change: connections that were opened before the start in the list are closed, with the outcomes of a lost connection. The edge closes the connection to a server that is not listed any more once one in service has its address; the node released such calls before.

Evidence: restarted_process_gets_setups_on_new_connections_only and process_at_the_address_of_one_that_has_gone_is_not_taken_for_it fail on the code before ('sent on connection 0', no release within 5 s) and pass now.

--- a/crates/lilacpitch-edge/src/core/endpoint_list.rs
+++ b/crates/lilacpitch-edge/src/core/endpoint_list.rs
@@ -73,6 +73,7 @@
             {
                 self.connect(id, effects);
             }
+            self.disconnect_if_address_reused(id, effects);
             self.disconnect_if_removed(id, effects);
         }
     }
@@ -112,6 +113,11 @@
             tracing::info!(server = entry.name, "server restarted");
             self.withdraw_queued(id, effects);
         }
+        // A machine that was lost doesn't reset its connections.
+        let is_former = self.servers.by_id.get(&id).is_some_and(Server::is_connected_to_former_process);
+        if has_restarted && !has_moved && is_former {
+            self.reconnect_now(id, effects);
+        }
         if has_moved {
             tracing::info!(server = entry.name, address = %entry.address, "server address changed");
             self.reconnect_now(id, effects);
--- a/crates/lilacpitch-edge/src/core/upstreams.rs
+++ b/crates/lilacpitch-edge/src/core/upstreams.rs
@@ -39,6 +39,8 @@
     /// When the server started, according to the list, in milliseconds since 1970.
     pub started_ms: u64,
     state: UpstreamState,
+    /// When the connection was established; 0 before the first one.
+    connected_ns: Nanos,
     /// Number of consecutive connections that were lost or not established.
     failures: u32,
     /// Attempts at this server: queued, in flight or established.
@@ -53,6 +55,7 @@
             endpoint,
             started_ms,
             state: UpstreamState::NeverTried,
+            connected_ns: 0,
             failures: 0,
             attempts: BTreeSet::new(),
         }
@@ -81,6 +84,11 @@
         Some((*upstream, *messages - 1))
     }
 
+    /// Whether its connection is to a process that was replaced by the one that the list reports.
+    pub(super) fn is_connected_to_former_process(&self) -> bool {
+        self.connected_upstream().is_some() && self.connected_ns < self.endpoint.up_since_ns
+    }
+
     pub(super) fn is_never_tried(&self) -> bool {
         self.state == UpstreamState::NeverTried
     }
@@ -177,6 +185,7 @@
         let Some(id) = self.servers.id_of_upstream(upstream) else { return };
         let Some(server) = self.servers.by_id.get_mut(&id) else { return };
         server.state = UpstreamState::Connected { upstream, messages: 0 };
+        server.connected_ns = self.now;
         server.failures = 0;
         self.counters.upstreams_connected += 1;
         tracing::info!(server = server.name, upstream, "upstream connected");
@@ -294,6 +303,21 @@
         self.connect(id, effects);
     }
 
+    /// Ends the connection to a server that was removed from the list and whose address another one has by now: the
+    /// process is gone, though its connection may not show it. Its attempts end as they do when a connection is lost.
+    pub(super) fn disconnect_if_address_reused(&mut self, id: ServerId, effects: &mut Vec<Effect>) {
+        let Some(server) = self.servers.by_id.get(&id) else { return };
+        let is_removed = server.endpoint.availability == Availability::Removed;
+        let is_reused = |other: &Server| {
+            other.endpoint.availability == Availability::Ready && other.address == server.address
+        };
+        let Some(upstream) = server.upstream() else { return };
+        if is_removed && self.servers.by_id.values().any(is_reused) {
+            effects.push(Effect::Disconnect(upstream));
+            self.handle_upstream_closed(upstream, u64::MAX, effects);
+        }
+    }
+
     /// Ends the connection to a server that was removed from the list, once the last attempt there has ended.
     pub(super) fn disconnect_if_removed(&mut self, id: ServerId, effects: &mut Vec<Effect>) {
         let Some(server) = self.servers.by_id.get_mut(&id) else { return };
--- a/crates/lilacpitch-edge/tests/hard_cases.rs
+++ b/crates/lilacpitch-edge/tests/hard_cases.rs
@@ -459,3 +459,38 @@
     assert!(is_received(ToServer::Cancel { attempt: pending.attempt() }));
     assert_eq!(edge.wait_for_exit(TIMEOUT), Some(true));
 }
+
+/// Guards against a new process at the address of one that has gone without a reset and is taken for it: calls were
+/// sent on the former one's connection, and its calls were never released.
+#[test]
+fn process_at_the_address_of_one_that_has_gone_is_not_taken_for_it() {
+    // Under the same name, as a restart, and under another.
+    for (name, has_restarted) in [("r0", true), ("new", false)] {
+        let servers = Servers::start(&[true]);
+        let edge = Edge::start(&servers, "").wait_until_connected(&servers, 1);
+        let mut caller = Caller::connect(&edge);
+        caller.setup("former", Some(0), 3_000);
+        let former = servers.next_setup();
+        servers.all[0].answer(&former);
+        assert_eq!(caller.next_answer("former").1, Answer::Stands);
+        std::thread::sleep(ms(50));
+        let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
+        let started_ms = if has_restarted { now.as_millis() } else { 0 };
+        let address = servers.all[0].address;
+        edge.write_endpoint_list(&format!(
+            "servers: [{{name: {name:?}, pool: \"p0\", address: \"{address}\", started_ms: {started_ms}}}]\n"
+        ));
+        let cut = ToCaller::Released { call: "former".into(), cause: "cut".into() };
+        assert_eq!(caller.next_message(), cut, "{name}");
+        wait_until(ms(3_000), "a connection to the new process", || servers.all[0].connection_count() > 1);
+        caller.setup("next", Some(0), 3_000);
+        // One that has just started may get the set-up late.
+        let sent = servers.messages_within(ms(500));
+        assert!(has_restarted || !sent.is_empty(), "the new process gets no set-up");
+        let is_on_former = |message: &ReceivedMessage| message.connection == former.connection;
+        assert!(
+            !sent.iter().any(is_on_former),
+            "{name}: sent on the connection of the former process: {sent:?}"
+        );
+    }
+}
--- a/crates/lilacpitch-edge/tests/node/servers.rs
+++ b/crates/lilacpitch-edge/tests/node/servers.rs
@@ -260,3 +260,30 @@
     let is_closed = |line: &ServerLine| line.value.is_none() && Some(line.connection) == unresponsive;
     assert!(received.iter().any(is_closed), "the unresponsive connection was not closed");
 }
+
+/// Guards against a new process at the address of one that has gone without a reset and is taken for it: set-ups were
+/// sent on the connections of the former one.
+#[test]
+fn restarted_process_gets_setups_on_new_connections_only() {
+    let server = Server::start();
+    // A process that is warm soon after its start.
+    let edit_config = |text: String| text.replace("\"cold_ns\":14000000000", "\"cold_ns\":100000000");
+    let node = Node::spawn_with_config(Coordinator::listing(&[&server]), 256, edit_config);
+    node.wait_ready();
+    let mut caller = node.caller();
+    let former = server.establish(&mut caller, 1).connection;
+    std::thread::sleep(ms(50));
+    let known = server.connection_count();
+    node.coordinator.publish(vec![target("s0", server.address, 0, "in_service", unix_ms())]);
+    let released = caller.next().unwrap();
+    assert!(released.is_bye() && released.call() == id(1), "{released:?}");
+    std::thread::sleep(ms(200));
+    for call in 2..12 {
+        caller.invite(&id(call), 0, 1_000);
+        if let Some(launch) = server.next_within("launch", ms(200)) {
+            assert!(launch.connection >= known, "sent on connection {} beside {former}", launch.connection);
+            server.answer(&launch, "there");
+        }
+    }
+    assert!(server.connection_count() > known, "no new connection");
+}
--- a/crates/lilacpitch-node/src/core/endpoint_list.rs
+++ b/crates/lilacpitch-node/src/core/endpoint_list.rs
@@ -2,7 +2,7 @@
 //! connections and queued set-ups that a change of the list invalidates.
 
 use super::records::{AttemptState, Server};
-use super::{Effect, NodeCore};
+use super::{Effect, NodeCore, UpstreamId};
 use crate::coordinator::{Endpoints, State, Target};
 use lilacpitch::interface::{
     Availability, CallId, Endpoint, EndpointUpdate, LoadReport, Nanos, Outcome, ServerId,
@@ -64,7 +64,10 @@
             self.drop_queued_setups(id);
         }
         if is_moved {
-            self.close_former_connections(id, effects);
+            self.close_former_connections(id, Nanos::MAX, effects);
+        } else if is_restarted {
+            // A machine that was lost doesn't reset its connections.
+            self.close_former_connections(id, endpoint.up_since_ns, effects);
         }
         endpoint
     }
@@ -124,10 +127,14 @@
             .for_each(|call| self.release_orphaned_call(call, "server restarted", effects));
     }
 
-    /// Closes the connections to the former address of a server, and completes their set-ups as cut.
-    fn close_former_connections(&mut self, id: ServerId, effects: &mut Vec<Effect>) {
+    /// Closes the connections to a server that were opened before a time, to a process or at an address that it no
+    /// longer has, and completes their set-ups as cut.
+    fn close_former_connections(&mut self, id: ServerId, before_ns: Nanos, effects: &mut Vec<Effect>) {
         let upstreams = self.servers.get(&id).map_or(Vec::new(), |server| server.upstreams.clone());
-        for upstream in upstreams {
+        let is_former =
+            |id: &UpstreamId| self.upstreams.get(id).is_some_and(|upstream| upstream.opened_ns < before_ns);
+        let former: Vec<_> = upstreams.into_iter().filter(is_former).collect();
+        for upstream in former {
             let setups = self.upstreams.get(&upstream).map_or(BTreeSet::new(), |up| up.setups.clone());
             self.close_upstream(upstream, effects);
             setups
@@ -167,8 +174,7 @@
             self.release_orphaned_calls(id, "listed as removed", effects);
         }
         let Some(server) = self.servers.get(&id) else { return };
-        let has_setups =
-            |id: &super::UpstreamId| self.upstreams.get(id).is_some_and(|up| !up.setups.is_empty());
+        let has_setups = |id: &UpstreamId| self.upstreams.get(id).is_some_and(|up| !up.setups.is_empty());
         if !server.active_calls.is_empty() || server.upstreams.iter().any(has_setups) {
             return;
         }
--- a/crates/lilacpitch-node/src/core/records.rs
+++ b/crates/lilacpitch-node/src/core/records.rs
@@ -159,6 +159,8 @@
 pub(super) struct UpstreamConnection {
     /// The server.
     pub server: ServerId,
+    /// When it was opened.
+    pub opened_ns: Nanos,
     /// Whether it is established; else it is being established.
     pub is_up: bool,
     /// Whether a set-up got no answer here, and nothing was answered since. The connection may have been lost
@@ -185,9 +187,10 @@
 
 impl UpstreamConnection {
     /// Creates the record of a connection that is being established.
-    pub(super) fn new(server: ServerId) -> Self {
+    pub(super) fn new(server: ServerId, now: Nanos) -> Self {
         UpstreamConnection {
             server,
+            opened_ns: now,
             is_up: false,
             is_unresponsive: false,
             last_answer_ns: 0,
--- a/crates/lilacpitch-node/src/core/upstreams.rs
+++ b/crates/lilacpitch-node/src/core/upstreams.rs
@@ -68,7 +68,7 @@
         let id = self.next_upstream;
         self.next_upstream += 1;
         record.upstreams.push(id);
-        self.upstreams.insert(id, UpstreamConnection::new(server));
+        self.upstreams.insert(id, UpstreamConnection::new(server, self.now));
         effects.push(Effect::Connect(id, record.address));
         Some(id)
     }
