Limits for ids and numbers that callers choose, and tests beside hundreds of clients

Ids that stay in use after their calls, and the dialled numbers that the module remembers as unserved or busy, were limited by time only: their number followed the rate at which one client sends calls under ever new names.

Change: such an id counts 64 bytes into the memory for calls, so that a set-up is refused when there is none; the module remembers at most 16,384 unserved and 16,384 busy numbers, and takes a redial beyond that for a first try.

Evidence: no test shows the growth in 2 to 3 s, so this is a limit by construction.

--- a/crates/lilacpitch-edge/tests/node/disconnects.rs
+++ b/crates/lilacpitch-edge/tests/node/disconnects.rs
@@ -135,3 +135,25 @@
     delays.sort();
     assert!(delays[7] < ms(100), "median over 100 ms: {delays:?}");
 }
+
+/// Guards against set-ups that are sent on for callers that have closed their connections with much still unread.
+#[test]
+fn setups_that_are_unread_when_their_callers_leave_are_not_sent() {
+    const CALLS: u64 = 100;
+    let (server, node, mut caller) = Node::with_one_server();
+    // The module sends a server that it doesn't know few set-ups at a time.
+    (10_000..10_200).for_each(|call| _ = server.establish(&mut caller, call));
+    let mut leaving: Vec<_> = (0..4).map(|_| node.caller()).collect();
+    node.while_suspended(|| {
+        std::thread::sleep(ms(50));
+        for (first, caller) in (0..).step_by(CALLS as usize).zip(&mut leaving) {
+            (first..first + CALLS).for_each(|call| caller.invite(&id(call), 0, 3_000));
+        }
+        leaving.into_iter().for_each(Caller::close);
+        // Small segments may exceed the receive buffer, so that the close arrives with a retransmission.
+        std::thread::sleep(ms(400));
+    });
+    let sent = server.all_within(ms(800));
+    assert!(sent.iter().all(|line| line.kind() != "launch"), "{} lines were sent", sent.len());
+    server.establish(&mut caller, 20_000);
+}
--- a/crates/lilacpitch-edge/tests/node_memory.rs
+++ b/crates/lilacpitch-edge/tests/node_memory.rs
@@ -253,3 +253,81 @@
         while stream.write_all(request.as_bytes()).is_ok() {}
     });
 }
+
+/// Guards against the same by heads of very many short fields, which take up several times their size once they are
+/// decoded, with a body that stops half way.
+#[test]
+fn heads_of_many_short_fields_on_hundreds_of_connections_stay_within_the_memory_limit() {
+    let fields = "a:b\r\n".repeat(60);
+    let mut request = format!("INVITE sip:a@b SIP/2.0\r\nContent-Length: 15000\r\n{fields}\r\n").into_bytes();
+    request.resize(request.len() + 14_999, b'a');
+    Attacked::start(MEMORY_MB).check(10, move |address, _| {
+        let partial: Vec<_> = (0..60)
+            .filter_map(|_| {
+                let mut stream = connect(address, false)?;
+                stream.write_all(&request).ok()?;
+                Some(stream)
+            })
+            .collect();
+        std::thread::sleep(ms(600));
+        drop(partial);
+    });
+}
+
+/// Guards against the same by hundreds of clients that write slowly.
+#[test]
+fn hundreds_of_clients_that_write_slowly_stay_within_the_memory_limit() {
+    let request = bad_invite(0, 0, "dest:0;width:1;via:-1", 15_700);
+    Attacked::start(MEMORY_MB).check(10, move |address, _| {
+        let mut clients: Vec<_> = (0..60).filter_map(|_| connect(address, false)).collect();
+        for part in request.chunks(request.len() / 20).take(19) {
+            clients.iter_mut().for_each(|client| _ = client.write_all(part));
+            std::thread::sleep(ms(40));
+        }
+    });
+}
+
+/// Guards against memory that grows without end, and others that wait, while one client gives up calls under ever new
+/// ids and numbers at full speed.
+#[test]
+fn calls_under_ever_new_names_given_up_at_full_speed_stay_within_the_memory_limit() {
+    let number = Arc::new(AtomicU64::new(0));
+    Attacked::start(8).check(1, move |address, _| {
+        let Some(mut stream) = connect(address, true) else { return };
+        let start = Instant::now();
+        while start.elapsed() < ATTACK {
+            let first = number.fetch_add(50, Ordering::Relaxed);
+            let request = |method: &str, number: u64| {
+                let call = id(0xbad << 32 | number);
+                format!(
+                    "{method} sip:{number:016x}@net SIP/2.0\r\nCall-ID: {call}\r\nCSeq: 1 {method}\r\nP-Kind: plain\r\n\
+                     P-Time-Left: 3000\r\nP-Path: dest:0;width:1;via:-1\r\nContent-Length: 1\r\n\r\na"
+                )
+            };
+            // Not in one read, in which a set-up and its CANCEL are taken out together.
+            for method in ["INVITE", "CANCEL"] {
+                let requests: String = (first..first + 50).map(|number| request(method, number)).collect();
+                if stream.write_all(requests.as_bytes()).is_err() {
+                    return;
+                }
+                std::thread::sleep(ms(1));
+            }
+        }
+    });
+}
+
+/// Guards against others that wait while one client sends unsound requests on one connection at full speed.
+#[test]
+fn unsound_requests_of_one_client_at_full_speed_stay_within_the_memory_limit() {
+    let number = Arc::new(AtomicU64::new(0));
+    Attacked::start(MEMORY_MB).check(1, move |address, _| {
+        let Some(mut stream) = connect(address, true) else { return };
+        loop {
+            let first = number.fetch_add(100, Ordering::Relaxed);
+            let request = |number| invite(&id(0xbad << 32 | number), "dest:soon", 3_000, BODY);
+            if stream.write_all(&(first..first + 100).flat_map(request).collect::<Vec<_>>()).is_err() {
+                return;
+            }
+        }
+    });
+}
--- a/crates/lilacpitch-node/src/core/call_memory.rs
+++ b/crates/lilacpitch-node/src/core/call_memory.rs
@@ -13,6 +13,8 @@
 const CALL_RECORD_BYTES: usize = 1024;
 /// Memory of one release that waits for a caller, in bytes.
 const WAITING_RELEASE_BYTES: usize = 32;
+/// Memory of one id that is in use after its call, in bytes.
+const RETIRED_ID_BYTES: usize = 64;
 /// One in this many bytes of the memory for calls may be taken up by ended ones.
 const ENDED_CALLS_FRACTION: usize = 8;
 
@@ -46,7 +48,9 @@
     fn free_call_memory(&self) -> usize {
         let waiting = self.waiting_releases.len() * WAITING_RELEASE_BYTES;
         let ended = self.ended_calls.len() * ENDED_CALL_BYTES;
-        self.call_memory.limit.saturating_sub(self.call_memory.used).saturating_sub(waiting + ended)
+        let retired = (self.retired_wire_ids.len() + self.ending_wire_ids.len()) * RETIRED_ID_BYTES;
+        let others = waiting + ended + retired;
+        self.call_memory.limit.saturating_sub(self.call_memory.used).saturating_sub(others)
     }
 
     /// Returns how many ended calls may be kept.
--- a/crates/lilacpitch/src/controller.rs
+++ b/crates/lilacpitch/src/controller.rs
@@ -148,6 +148,8 @@
 const RESTART_PROBES: u32 = 3;
 /// Pause of a dialled number whose lines were all busy: clients usually redial after this time.
 const BUSY_NUMBER_PAUSE_NS: Nanos = WINDOW_NS / 2;
+/// Most dialled numbers that are remembered as unserved, and as many as busy: callers choose them.
+const MAX_REMEMBERED_NUMBERS: usize = 16 * 1024;
 /// Number of times that the interval between probes doubles at most.
 const MAX_PROBE_DOUBLINGS: u32 = 4;
 /// Half-life of the weight of a peer report about a server's state.
--- a/crates/lilacpitch/src/controller/calls.rs
+++ b/crates/lilacpitch/src/controller/calls.rs
@@ -48,13 +48,19 @@
         }
     }
 
+    /// Remembers when an unserved number was first dialled. Beyond the limit a redial counts as a first try.
+    fn remember_first_try(&mut self, number: u64, first_try_ns: Nanos) {
+        if self.unserved_numbers.len() < MAX_REMEMBERED_NUMBERS {
+            self.unserved_numbers.insert(number, first_try_ns);
+        }
+    }
+
     /// Drops a call. If it was not established, its client may redial, so the time of its first try is kept.
     pub(super) fn handle_client_disconnected(&mut self, id: CallId) {
         let Some(record) = self.calls.get(&id) else { return };
         if record.phase != CallPhase::Established {
-            if let Some(number) = record.call.dialled {
-                self.unserved_numbers.insert(number, record.first_try_ns);
-            }
+            let (number, first_try_ns) = (record.call.dialled, record.first_try_ns);
+            number.into_iter().for_each(|number| self.remember_first_try(number, first_try_ns));
         }
         self.drop_call(id);
     }
@@ -208,7 +214,7 @@
         if let Some(number) = record.call.dialled {
             // Many clients dial a busy number, so the next caller is probably a different client.
             if !self.busy_numbers.contains_key(&number) {
-                self.unserved_numbers.insert(number, record.first_try_ns);
+                self.remember_first_try(number, record.first_try_ns);
             }
         }
         let may_reject = match self.class(&record).idempotency {
@@ -283,7 +289,9 @@
 
     /// Pauses a dialled number whose lines are all busy. Apart from single probes, set-ups to it are wasted.
     fn pause_busy_number(&mut self, id: CallId) {
-        if let Some(number) = self.calls.get(&id).and_then(|record| record.call.dialled) {
+        let number = self.calls.get(&id).and_then(|record| record.call.dialled);
+        let has_room = self.busy_numbers.len() < MAX_REMEMBERED_NUMBERS;
+        if let Some(number) = number.filter(|number| has_room || self.busy_numbers.contains_key(number)) {
             self.busy_numbers.insert(number, self.now + BUSY_NUMBER_PAUSE_NS);
         }
     }
