WebSocket edge: a server that answers no ping is connected to anew

A call was never released where its connection to the server had been lost without a sign: the edge waited for messages, and a connection showed that it was useless only by an error of the socket.

Cause: only callers were pinged (RFC 6455 section 5.5.2).

Evidence: connection_to_a_server_that_answers_no_ping_is_lost_with_its_calls fails on the code before ('not released' within 5 s with 1 s of quiet) and passes now; 21 of 21 tests of hard_cases pass.

--- a/crates/lilacpitch-edge/src/net/connections.rs
+++ b/crates/lilacpitch-edge/src/net/connections.rs
@@ -125,9 +125,13 @@
         let reserved = self.settings.limits.calls.saturating_mul(MESSAGES_PER_CALL);
         let (out, context) = self.connection_context(reserved);
         let shared = context.shared();
-        let timeout = Duration::from_nanos(self.settings.timing.connect_ns);
+        let timing = &self.settings.timing;
+        let timing = UpstreamTiming {
+            connect: Duration::from_nanos(timing.connect_ns),
+            quiet: Duration::from_nanos(timing.quiet_ns),
+        };
         let target = format!("/signal/{}", self.settings.name);
-        let task = tokio::task::spawn_local(run_upstream(upstream, address, target, timeout, context));
+        let task = tokio::task::spawn_local(run_upstream(upstream, address, target, timing, context));
         self.upstreams.insert(upstream, handle(out, reserved, task.abort_handle(), &shared));
     }
 
@@ -203,21 +207,28 @@
     context.send(Input::CallerClosed(caller)).await;
 }
 
+/// How a connection to a server is opened and watched.
+struct UpstreamTiming {
+    connect: Duration,
+    /// Idle time after which the server is pinged.
+    quiet: Duration,
+}
+
 async fn run_upstream(
     upstream: UpstreamId,
     address: SocketAddr,
     target: String,
-    timeout: Duration,
+    timing: UpstreamTiming,
     mut context: ConnectionContext,
 ) {
     let mut written = 0;
     let opening = open(address, &target, handshake::SIGNAL_PROTOCOL, &mut context.rng);
-    match tokio::time::timeout(timeout, opening).await {
+    match tokio::time::timeout(timing.connect, opening).await {
         Ok(Ok((stream, received))) => {
             if !context.send(Input::UpstreamConnected(upstream)).await {
                 return;
             }
-            written = run_upstream_connection(upstream, stream, &received, &mut context).await;
+            written = run_upstream_connection(upstream, stream, &received, timing.quiet, &mut context).await;
         }
         Ok(Err(error)) => tracing::debug!(upstream, %address, %error, "upstream connection not established"),
         Err(_) => tracing::debug!(upstream, %address, "upstream connection timed out"),
@@ -231,6 +242,7 @@
     upstream: UpstreamId,
     stream: TcpStream,
     received: &[u8],
+    quiet: Duration,
     context: &mut ConnectionContext,
 ) -> u64 {
     let (clock, rng) = (context.clock, context.rng.clone());
@@ -239,7 +251,8 @@
         role: Role::Client,
         clock,
         rng,
-        quiet: None,
+        // A connection may be lost without a sign, and the releases of its calls with it.
+        quiet: Some(quiet),
         write_limits: None,
         has_client_left: context.has_client_left.clone(),
     };
--- a/crates/lilacpitch-edge/tests/hard_cases.rs
+++ b/crates/lilacpitch-edge/tests/hard_cases.rs
@@ -494,3 +494,30 @@
         );
     }
 }
+
+/// Guards against calls that are never released, because their connection was lost without a sign: nothing was sent on
+/// it that could have shown it.
+#[test]
+fn connection_to_a_server_that_answers_no_ping_is_lost_with_its_calls() {
+    let servers = Servers::start(&[true]);
+    // The scripted server answers no pings.
+    let settings = "timing: quiet: \"1s\"";
+    let edge = Edge::start(&servers, settings).wait_until_connected(&servers, 1);
+    let mut caller = Caller::connect(&edge);
+    caller.setup("c", Some(0), 3_000);
+    servers.all[0].answer(&servers.next_setup());
+    assert_eq!(caller.next_answer("c").1, Answer::Stands);
+    // The caller is heard all the time.
+    let mut pong = Vec::new();
+    Encoder::pong(&mut pong, b"", Some([1, 2, 3, 4]));
+    let until = Instant::now() + ms(5_000);
+    let event = loop {
+        assert!(Instant::now() < until, "not released");
+        caller.send_bytes(&pong);
+        if let Some((_, event)) = caller.next_event(ms(200)) {
+            break event;
+        }
+    };
+    assert_eq!(event, Ok(ToCaller::Released { call: "c".into(), cause: "cut".into() }));
+    edge.wait_for_metric("lilacpitch_links_made_total", 2);
+}
