--- a/crates/lilacpitch-rpc/tests/connections.rs
+++ b/crates/lilacpitch-rpc/tests/connections.rs
@@ -218,3 +218,52 @@
     assert!(matches!(result, Err(RpcError::Handshake(_))), "{:?}", result.err());
     assert!(started.elapsed() < TIMEOUT / 2, "closed by the time limit only");
 }
+
+/// Guards against requests that are handled for a peer that has closed its connection with them unread.
+#[tokio::test]
+async fn requests_that_are_unread_when_their_peer_leaves_are_not_handled() {
+    const REQUESTS: usize = 200;
+    let (listener, relay) =
+        (TcpListener::bind("127.0.0.1:0").await.unwrap(), TcpListener::bind("127.0.0.1:0").await.unwrap());
+    let (address, relay_address) = (listener.local_addr().unwrap(), relay.local_addr().unwrap());
+    let (requests, handled) = tokio::sync::watch::channel(0);
+    let server = tokio::spawn(async move {
+        let (identity, handler) = (identity("b", 2, 1), Arc::new(CountingHandler(requests)));
+        accept(listener.accept().await.unwrap().0, &identity, handler, TIMEOUT).await.unwrap()
+    });
+    // Passes the Hello on, and all else at once with the close.
+    let relayed = tokio::spawn(async move {
+        let (from, mut to) = (relay.accept().await.unwrap().0, TcpStream::connect(address).await.unwrap());
+        let ((mut read_from, mut write_from), (mut read_to, mut write_to)) = (from.into_split(), to.split());
+        let back = async {
+            let length = read_to.read_u32().await.unwrap();
+            let mut hello = vec![0; length as usize];
+            read_to.read_exact(&mut hello).await.unwrap();
+            write_from.write_u32(length).await.unwrap();
+            write_from.write_all(&hello).await.unwrap();
+        };
+        let on = async {
+            let length = read_from.read_u32().await.unwrap();
+            let mut hello = vec![0; length as usize];
+            read_from.read_exact(&mut hello).await.unwrap();
+            write_to.write_u32(length).await.unwrap();
+            write_to.write_all(&hello).await.unwrap();
+        };
+        tokio::join!(back, on);
+        let mut rest = Vec::new();
+        read_from.read_to_end(&mut rest).await.unwrap();
+        write_to.write_all(&rest).await.unwrap();
+        write_to.shutdown().await.unwrap();
+        rest.len()
+    });
+    let identity = identity("a", 1, 1);
+    let client =
+        connect(relay_address, &Role::Front, &identity, Arc::new(TestHandler), TIMEOUT).await.unwrap();
+    let server = server.await.unwrap();
+    let sent = (0..REQUESTS).map(|_| client.request(Request::ReadIndex, Duration::from_millis(100)));
+    futures_util::future::join_all(sent).await;
+    client.close();
+    assert!(relayed.await.unwrap() > REQUESTS * 10, "not all requests were sent");
+    tokio::time::timeout(TIMEOUT, server.ended()).await.expect("not closed");
+    assert_eq!(*handled.borrow(), 0, "handled for a peer that has left");
+}
